Read every load report column: what waits, busy cores, rate

Seen: a trace of each send, end and refusal over the 80 sidecars shows that knocks (two servers probed, the better one taken) chose blindly: the first answer won, jammed or not. The reports of this deployment carry pending, cpu_share and served_ps; settings.InFlightColumn looked for busy_reqs alone, so every load was -1 and a probe told life from death and nothing more.

Ruled out: lost or late probe answers. The logs hold a well-formed report for each probe, and pending ranged from 0 to 18 between servers in one second.

Now settings names the columns, policy.Load carries all four values, and what a server holds is pending plus the busy part of its cores where the report does not count requests itself.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -65,11 +65,11 @@
 
 // instance is one sidecar; it carries out its Balancer's decisions.
 type instance struct {
-	host   *host
-	number uint32
-	column int // of the load reports' number of requests held
-	b      *policy.Balancer
-	logAt  time.Duration // when the counters are written next
+	host    *host
+	number  uint32
+	columns settings.Columns
+	b       *policy.Balancer
+	logAt   time.Duration // when the counters are written next
 }
 
 // logEvery is how often an instance's counters go to the log.
@@ -158,7 +158,7 @@
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", number, err)
 	}
-	i := &instance{host: h, number: number, column: s.InFlightColumn()}
+	i := &instance{host: h, number: number, columns: s.Columns()}
 	h.instances[number] = i
 	return i.guard(func() error {
 		b, err := policy.New(config, seed, i)
@@ -233,7 +233,7 @@
 		if err != nil {
 			return err
 		}
-		i.b.Probed(now, policy.ServerID(up), end == wire.EndServed, report.Load(i.column))
+		i.b.Probed(now, policy.ServerID(up), end == wire.EndServed, i.columns.Load(report.Value))
 	case wire.EvFleet:
 		kind, _, page, err := rec.Fleet()
 		if err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -148,14 +148,33 @@
 	return int(n)
 }
 
-// InFlightColumn tells where in a load report the number of requests held stands; -1 where absent.
-func (s *Settings) InFlightColumn() int {
-	for i, name := range s.Words("telemetry.columns") {
-		if name == "busy_reqs" {
-			return i
+// Columns are the names of the values in a load report, in their order.
+type Columns []string
+
+// Columns returns the names of what load reports hold.
+func (s *Settings) Columns() Columns { return s.Words("telemetry.columns") }
+
+// Load turns a report into the module's own. value gives the number in a column
+// and whether there is one; what is no number or negative is unknown.
+func (c Columns) Load(value func(column int) (float64, bool)) policy.Load {
+	load := policy.NoLoad
+	for i, name := range c {
+		v, ok := value(i)
+		if !ok || !(v >= 0) || math.IsInf(v, 0) {
+			continue
+		}
+		switch name {
+		case "busy_reqs":
+			load.InFlight = v
+		case "pending":
+			load.Waiting = v
+		case "cpu_share":
+			load.Busy = v
+		case "served_ps":
+			load.Rate = v
 		}
 	}
-	return -1
+	return load
 }
 
 // Config turns the settings into the module's own.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -70,7 +70,7 @@
 	if c.Tenants[0].Quota != 342 || c.Tenants[0].Share != 0.79 {
 		t.Errorf("tenant %+v", c.Tenants[0])
 	}
-	if got := s.InFlightColumn(); got != 3 {
+	if got := s.Columns(); len(got) != 4 || got[3] != "busy_reqs" {
 		t.Errorf("columns %+v", got)
 	}
 	for _, bad := range []string{"balancers=three", "classes.count=-1", "classes.count=1e9", "orgs.count=1.5"} {
@@ -116,8 +116,8 @@
 	if names := s.Names("classes"); !slices.Equal(names, []string{"a b", "c"}) {
 		t.Errorf("classes %q", names)
 	}
-	if i := s.InFlightColumn(); i != 3 || s.Words("telemetry.columns")[i] != "busy_reqs" || s.Words("none") != nil {
-		t.Errorf("column %d of %q", i, s.Words("telemetry.columns"))
+	if c := s.Columns(); !slices.Equal(c, lines.Columns()) || s.Words("none") != nil {
+		t.Errorf("columns %q in JSON, %q in lines", c, lines.Columns())
 	}
 	for _, bad := range []string{"", "[]", `{"balancers":`, "7"} {
 		if _, err := ParseJSON([]byte(bad)); err == nil {
@@ -125,3 +125,27 @@
 		}
 	}
 }
+
+// Guards against this: the servers report what waits and not what they hold, and all their reports say nothing.
+func TestLoadTakesEveryKnownColumn(t *testing.T) {
+	columns := Columns{"pending", "cpu_share", "served_ps", "svc_ms"}
+	for _, tt := range []struct {
+		name   string
+		values []float64
+		want   policy.Load
+	}{
+		{"all", []float64{3, 0.5, 20, 7}, policy.Load{InFlight: -1, Waiting: 3, Busy: 0.5, Rate: 20}},
+		{"cut short", []float64{3}, policy.Load{InFlight: -1, Waiting: 3, Busy: -1, Rate: -1}},
+		{"unusable", []float64{math.NaN(), -1, math.Inf(1)}, policy.NoLoad},
+	} {
+		got := columns.Load(func(i int) (float64, bool) {
+			if i >= len(tt.values) {
+				return 0, false
+			}
+			return tt.values[i], true
+		})
+		if got != tt.want {
+			t.Errorf("%s: %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -28,9 +28,9 @@
 	Classes     []string
 	Tenants     []string // empty: there is one, and requests need not name it
 	Zones       []string
-	LoadField   string        // a load report's name for the number of requests held
-	DialTimeout time.Duration // a connection not made by then never comes
-	ConnIdle    time.Duration // upstreams close a connection that was idle this long
+	LoadFields  settings.Columns // the names in a load report
+	DialTimeout time.Duration    // a connection not made by then never comes
+	ConnIdle    time.Duration    // upstreams close a connection that was idle this long
 }
 
 // Limits are the platform's limits on this process.
@@ -136,12 +136,10 @@
 		Classes:     s.Names("classes"),
 		Tenants:     s.Names("orgs"),
 		Zones:       s.Words("zones"),
+		LoadFields:  s.Columns(),
 		DialTimeout: s.Duration("caps.dial_timeout_ms", defaultDialTimeout),
 		ConnIdle:    s.Duration("caps.conn_idle_ms", defaultConnIdle),
 	}
-	if columns, i := s.Words("telemetry.columns"), s.InFlightColumn(); i >= 0 {
-		c.LoadField = columns[i]
-	}
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -49,7 +49,7 @@
 func serve(stop context.Context, reload <-chan os.Signal, c *Config, ln net.Listener) error {
 	defer ln.Close()
 	forClients, forUpstreams := c.Limits.connections()
-	up := &upstreams{pool: newPool(c.DialTimeout, c.ConnIdle, forUpstreams), loadField: c.LoadField, statsPath: "/health/live"}
+	up := &upstreams{pool: newPool(c.DialTimeout, c.ConnIdle, forUpstreams), loadFields: c.LoadFields, statsPath: "/health/live"}
 	if c.Policy.Reports {
 		up.statsPath = "/stats"
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -151,7 +151,7 @@
 	if len(h.probes) != 2 {
 		t.Fatal("the second result went before the first")
 	}
-	l.handle(probed{first, false, policy.Load{InFlight: -1}})
+	l.handle(probed{first, false, policy.NoLoad})
 	if len(h.probes) != 0 {
 		t.Errorf("%d results are held back", len(h.probes))
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -7,13 +7,14 @@
 	"fmt"
 	"io"
 	"maps"
-	"math"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"mothridge/internal/settings"
 	"mothridge/policy"
 )
 
@@ -53,9 +54,9 @@
 
 // upstreams carries out attempts and probes over one pool of connections.
 type upstreams struct {
-	pool      *pool
-	loadField string
-	statsPath string
+	pool       *pool
+	loadFields settings.Columns
+	statsPath  string
 }
 
 // try carries an attempt out. What it returns follows the protocol's table: as
@@ -187,7 +188,7 @@
 // probe asks an upstream for a sign of life and its load. Without any answer in
 // the time that a connection may take to come up, it has failed.
 func (u *upstreams) probe(ctx context.Context, to *peer) (ok bool, load policy.Load) {
-	load.InFlight = -1
+	load = policy.NoLoad
 	ctx, cancel := context.WithTimeout(ctx, u.pool.dialTimeout)
 	defer cancel()
 	c, err := u.pool.get(ctx, to)
@@ -206,21 +207,25 @@
 	if report == "" {
 		report = string(body[:min(len(body), maxReport)])
 	}
-	return true, policy.Load{InFlight: u.inFlight(report)}
+	return true, u.load(report)
 }
 
-// inFlight takes the number of requests held out of a report of the form
-// 'TEXT name=value, name=value'; it is negative where the report lacks it.
-func (u *upstreams) inFlight(report string) float64 {
+// load reads a report of the form 'TEXT name=value, name=value'. What it lacks, and
+// what is no number, is unknown.
+func (u *upstreams) load(report string) policy.Load {
+	values := make(map[string]float64, len(u.loadFields))
 	report, _ = strings.CutPrefix(strings.TrimSpace(report), "TEXT ")
 	for field := range strings.SplitSeq(report, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if name != u.loadField || name == "" {
-			continue
+		name, text, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !slices.Contains(u.loadFields, name) {
+			continue // it may hold any number of others
 		}
-		if n, err := strconv.ParseFloat(value, 64); err == nil && n >= 0 && !math.IsInf(n, 0) {
-			return n
+		if v, err := strconv.ParseFloat(text, 64); err == nil {
+			values[name] = v
 		}
 	}
-	return -1
+	return u.loadFields.Load(func(column int) (float64, bool) {
+		v, ok := values[u.loadFields[column]]
+		return v, ok
+	})
 }
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"mothridge/internal/settings"
 	"mothridge/policy"
 )
 
@@ -209,7 +210,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			u := newUpstream(t, always(c.text))
-			ups := &upstreams{pool: testPool(1), loadField: "busy_reqs", statsPath: "/stats"}
+			ups := &upstreams{pool: testPool(1), loadFields: settings.Columns{"busy_reqs", "pending"}, statsPath: "/stats"}
 			ok, load := ups.probe(context.Background(), &peer{addr: u.addr})
 			if ok != c.ok || load.InFlight != c.load {
 				t.Errorf("probe: %v, %v; want %v, %v", ok, load.InFlight, c.ok, c.load)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"mothridge/internal/settings"
-	"mothridge/policy"
 )
 
 // Event codes.
@@ -262,12 +261,12 @@
 	Values [4]float32
 }
 
-// Load takes the number of requests held out of that column; it is negative where absent.
-func (r Report) Load(column int) policy.Load {
+// Value returns the value in a column, and whether there is one.
+func (r Report) Value(column int) (float64, bool) {
 	if column < 0 || column >= r.N {
-		return policy.Load{InFlight: -1}
+		return 0, false
 	}
-	return policy.Load{InFlight: float64(r.Values[column])}
+	return float64(r.Values[column]), true
 }
 
 // Entry is one line of a server list.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -80,11 +80,14 @@
 	if err != nil || up != entries[1].Upstream || end != EndServed || report.N != 4 || report.Values[3] != 7 {
 		t.Fatalf("probe of %x: %d, report %+v, error %v", up, end, report, err)
 	}
-	if l := report.Load(3); l.InFlight != 7 {
-		t.Fatalf("load %+v", l)
+	if v, ok := report.Value(3); v != 7 || !ok {
+		t.Fatalf("column 3 holds %v, %v", v, ok)
 	}
-	if l := report.Load(-1); l.InFlight != -1 || (Report{}).Load(3).InFlight != -1 {
-		t.Fatalf("absent load %+v, want it unknown", l)
+	if _, ok := report.Value(-1); ok {
+		t.Fatal("there is no column -1")
+	}
+	if _, ok := (Report{}).Value(3); ok {
+		t.Fatal("an empty report has no column")
 	}
 	rec, _, _ = Next(unhex(t, "1a04 0b000000 03000000 03 29000000 0700"))
 	if kind, version, page, err := rec.Fleet(); err != nil || kind != FleetCached || version != 41 || page != 7 {
--- a/policy/api.go
+++ b/policy/api.go
@@ -151,8 +151,14 @@
 // Load is what a server reports of itself. A negative number is unknown.
 type Load struct {
 	InFlight float64 // requests it holds
+	Waiting  float64 // of those, the ones that have not begun
+	Busy     float64 // share of its cores in use
+	Rate     float64 // requests it serves a second
 }
 
+// NoLoad is the load of a server that reported none.
+var NoLoad = Load{InFlight: -1, Waiting: -1, Busy: -1, Rate: -1}
+
 // Host carries out what the Balancer decides. Its methods must not call back
 // into the Balancer.
 type Host interface {
--- a/policy/health.go
+++ b/policy/health.go
@@ -58,3 +58,13 @@
 	s.unwell = true
 	b.weigh(now)
 }
+
+// held is how many requests a server holds by its report, or negative. Where that
+// says only what waits, the busy part of its cores is what it works on: a listed
+// size of 1 stands for about one core.
+func (s *server) held(l Load) float64 {
+	if l.InFlight >= 0 || l.Waiting < 0 {
+		return l.InFlight
+	}
+	return l.Waiting + max(0, l.Busy)*s.Weight
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -256,8 +256,11 @@
 // Probed takes the result of a probe: for its load report, and for the request that knocked.
 func (b *Balancer) Probed(now time.Duration, id ServerID, ok bool, l Load) {
 	s := b.server(id)
-	if s != nil && ok && l.InFlight >= 0 {
-		s.toldAt, s.others = now, max(0, l.InFlight-float64(s.out))
+	held := -1.0
+	if s != nil && ok {
+		if held = s.held(l); held >= 0 {
+			s.toldAt, s.others = now, max(0, held-float64(s.out))
+		}
 	}
 	if s == nil || len(s.door) == 0 {
 		return
@@ -268,10 +271,10 @@
 		b.strike(now, s)
 	}
 	if r.knocking {
-		load := (1 + max(0, l.InFlight)) / (s.Weight * b.warmth(now, s))
+		load := (1 + max(0, held)) / (s.Weight * b.warmth(now, s))
 		if r.unheard--; ok && (r.best == nil || load < r.bestLoad) {
 			r.best, r.bestLoad, r.goAt = s, load, now
-			if l.InFlight >= 0 { // the other may be less loaded: it gets a moment more
+			if held >= 0 { // the other may be less loaded: it gets a moment more
 				r.goAt = now + 2*b.cfg.Tick
 				b.wake(now, 2*b.cfg.Tick)
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -432,8 +432,8 @@
 	if len(h.probes) != 2 {
 		t.Fatalf("%d probes for 4 requests, want 2", len(h.probes))
 	}
-	b.Probed(2*ms, 9, true, Load{InFlight: 1})   // a server not listed
-	b.Probed(2*ms, 1, false, Load{InFlight: -1}) // a failed probe
+	b.Probed(2*ms, 9, true, Load{InFlight: 1}) // a server not listed
+	b.Probed(2*ms, 1, false, NoLoad)           // a failed probe
 	for id := RequestID(10); id < 12; id++ {
 		ask(b, 2*time.Second, id, safeClass) // the report is old by now
 	}
@@ -726,8 +726,9 @@
 		answers []Load // by server 1 and 2, in that order; nil: neither answers
 		to      ServerID
 	}{
-		{"the first to answer", false, []Load{{InFlight: -1}}, 1},
+		{"the first to answer", false, []Load{NoLoad}, 1},
 		{"the less loaded", true, []Load{{InFlight: 9}, {InFlight: 2}}, 2},
+		{"the one where less waits", true, []Load{{-1, 9, 1, 20}, {-1, 0, 0.4, 20}}, 2},
 		{"nobody", false, nil, 0},
 	}
 	for _, tt := range tests {
@@ -782,7 +783,7 @@
 			now := from + time.Duration(id-first)*100*ms
 			ask(b, now, id, safeClass)
 			for k := len(h.probes) - 2; k >= 0 && k < len(h.probes); k++ {
-				b.Probed(now, h.probes[k], true, Load{InFlight: -1})
+				b.Probed(now, h.probes[k], true, NoLoad)
 			}
 			if len(h.sends) > before+sent {
 				sent++
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -206,7 +206,9 @@
 			id = w.probed[k]
 			w.probed = slices.Delete(w.probed, k, k+1)
 		}
-		w.b.Probed(w.now, id, pick(3) > 0, Load{InFlight: float64(pick(40) - 1)})
+		w.b.Probed(w.now, id, pick(3) > 0, Load{
+			InFlight: float64(pick(40) - 20), Waiting: float64(pick(40) - 1), Busy: float64(pick(12)-1) / 10, Rate: float64(pick(60) - 1),
+		})
 	case 9:
 		if len(w.order) > 0 {
 			if id := w.order[pick(len(w.order))]; !w.held[id].answered {
