Rest servers that answer from behind a queue; no share of traffic, no knocks

The lines at fault are Balancer.shed: what passes is good*(1+(good/tried)^12), which is less than what was tried as soon as 14 % go wrong for any reason. A few bad, cold or silent servers make every sidecar's share shrink without end, and a restarted sidecar begins at none.

So the jam is where some servers are: a server that answers from behind a queue is passed over for a while, longer with each slow answer, until one is quick. As near servers rest, turns spill to other zones in proportion; when all rest, requests wait in the short queue or are refused. What is late gives way first. Listed sizes are corrected by what load reports show of all servers listed alike (two cores listed at 2 do 1.3 times what one fast core does), for which one probe in 16 requests suffices.

--- a/policy/api.go
+++ b/policy/api.go
@@ -180,11 +180,10 @@
 
 // Counters tell what a Balancer did since it was made.
 type Counters struct {
-	Ordinary uint64 // turns given by the ordinary path: a slot, and the server whose turn it was; two for a knock
-	Knocked  uint64 // sends to the first or least loaded of the servers probed for the request
+	Ordinary uint64 // turns given by the ordinary path: a slot, and the server whose turn it was
 	Passed   uint64 // turns moved on past a server that held its portion or was judged unwell
 	Trials   uint64 // turns of a server judged unwell
-	Shed     uint64 // requests refused at once: late, or too few of the last were answered within their aim
+	Shed     uint64 // requests refused at once: late already, while servers rest
 	Retries  uint64 // further attempts after one that failed
 	Refused  uint64
 	Failed   uint64
--- /dev/null
+++ b/policy/capacity.go
@@ -0,0 +1,108 @@
+package policy
+
+// What servers can do, learnt from load reports: listed weights are rough, and one
+// kind of server listed at twice the size of another may do a third more. Each
+// balancer sends in proportion to the list, and all of them together overrun that
+// kind while the other idles. One balancer meets a server too seldom to measure
+// it, but many servers share a listed weight: they are measured as one.
+
+const (
+	// busyEnough is how busy a server must be for its rate to tell its capacity.
+	busyEnough = 0.2
+	// sizePrior is how many busy reports the listed weights count for.
+	sizePrior = 2.0
+	// sizeMemory is how many busy reports are remembered: about a minute of them.
+	sizeMemory = 60.0
+	// probeEvery is how many requests there are for each report that is asked for.
+	probeEvery = 2
+	// thinProbeEvery is the same where traffic is thin: reports tell of the fleet
+	// then and not of one server, and all balancers' probes add up.
+	thinProbeEvery = 16
+	// Nothing is known at the start: the first reports come thicker.
+	firstRequests, firstProbeEvery = 48, 4
+	// mostSizes bounds the listed weights that are told apart: weights that are
+	// all different are measurements themselves.
+	mostSizes = 8
+)
+
+// size adds up the reports of all servers that one weight is listed for.
+type size struct {
+	weight float64
+	rate   float64 // requests a second, added up
+	busy   float64 // share of the cores in use, added up
+}
+
+// measure learns from a load report what servers of one listed weight can do.
+func (b *Balancer) measure(s *server, l Load) {
+	if l.Busy < busyEnough || l.Rate <= 0 {
+		return
+	}
+	z := b.sizeOf(s.Weight)
+	if z == nil {
+		return
+	}
+	z.rate += l.Rate
+	if z.busy += l.Busy; z.busy > sizeMemory {
+		z.rate, z.busy = z.rate/2, z.busy/2
+	}
+	for _, s := range b.servers {
+		s.size = b.capacity(s.Weight)
+	}
+}
+
+// sizeOf returns the entry of a listed weight, or nil where there are too many.
+func (b *Balancer) sizeOf(weight float64) *size {
+	for i := range b.sizes {
+		if b.sizes[i].weight == weight {
+			return &b.sizes[i]
+		}
+	}
+	if len(b.sizes) == mostSizes {
+		return nil
+	}
+	b.sizes = append(b.sizes, size{weight: weight})
+	return &b.sizes[len(b.sizes)-1]
+}
+
+// unit is how many requests a second servers answer for each unit of weight.
+func (b *Balancer) unit() float64 {
+	rate, busy := 0.0, 0.0
+	for _, z := range b.sizes {
+		rate += z.rate
+		busy += z.busy * z.weight
+	}
+	if rate == 0 {
+		return 1 / max(b.pace.Seconds(), 1e-3) // no report yet: one at a time
+	}
+	return rate / busy
+}
+
+// capacity is what servers of a listed weight can do, on the scale of the weights.
+func (b *Balancer) capacity(weight float64) float64 {
+	mean := b.unit()
+	for _, z := range b.sizes {
+		if z.weight == weight {
+			return (z.rate + sizePrior*weight*mean) / (z.busy + sizePrior) / mean
+		}
+	}
+	return weight
+}
+
+// probe asks a server for a load report, as often as requests pay for it. Where
+// traffic is thin it asks any server at random, so that balancers don't go round in step.
+func (b *Balancer) probe() {
+	n := len(b.servers)
+	if b.probes++; !b.cfg.Reports || n == 0 {
+		return
+	}
+	every, next := probeEvery, b.probes/probeEvery%n
+	if b.thin {
+		if every = thinProbeEvery; b.probes <= firstRequests {
+			every = firstProbeEvery
+		}
+		next = b.rng.IntN(n)
+	}
+	if s := b.servers[next]; b.probes%every == 0 && s.State == Ready {
+		b.host.Probe(s.ID)
+	}
+}
--- /dev/null
+++ b/policy/capacity_test.go
@@ -0,0 +1,59 @@
+package policy
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// Guards against this: a kind listed at twice the size of another does a third more,
+// and all balancers together overrun it.
+func TestReportsTellWhatListedSizesCanDo(t *testing.T) {
+	list := ready(1, 2)
+	list[1].Weight = 2
+	b, h := start(t, thinConfig(), list)
+	if b.server(1).size != 1 || b.server(2).size != 2 {
+		t.Fatalf("sizes %v and %v before any report", b.server(1).size, b.server(2).size)
+	}
+	for range 50 {
+		b.Probed(ms, 1, true, Load{InFlight: -1, Waiting: 0, Busy: 0.5, Rate: 15}) // 30 a second
+		b.Probed(ms, 2, true, Load{InFlight: -1, Waiting: 3, Busy: 1, Rate: 40})   // 40
+		b.Probed(ms, 1, true, Load{InFlight: -1, Waiting: 0, Busy: 0.1, Rate: 40}) // too idle to tell
+		b.Probed(ms, 1, true, NoLoad)
+	}
+	if got := b.server(2).size / b.server(1).size; math.Abs(got-4.0/3) > 0.05 {
+		t.Fatalf("sizes %v and %v, want a third more for the second", b.server(1).size, b.server(2).size)
+	}
+	for id := range RequestID(70) {
+		ask(b, ms, id, safeClass)
+		end(b, ms, id, 0, Served)
+	}
+	if n := h.sentTo(2); n < 38 || n > 42 {
+		t.Fatalf("%d of 70 to the larger server, want 40", n)
+	}
+	for i := range 2 * mostSizes {
+		list = append(list, Server{ID: ServerID(10 + i), State: Ready, Weight: 1 + float64(i)/100})
+	}
+	b.List(ms, ListFull, list)
+	for _, s := range b.servers {
+		b.Probed(ms, s.ID, true, Load{InFlight: -1, Waiting: 0, Busy: 1, Rate: 20})
+	}
+	if len(b.sizes) > mostSizes {
+		t.Fatalf("%d listed sizes are told apart, at most %d", len(b.sizes), mostSizes)
+	}
+}
+
+// Guards against this: probes that are cheap for one balancer cost the fleet more than they tell.
+func TestThinTrafficProbesSeldom(t *testing.T) {
+	cfg := thinConfig()
+	cfg.Reports = true
+	b, h := start(t, cfg, ready(1, 2, 3, 4))
+	for id := range RequestID(firstRequests + 160) {
+		now := time.Duration(id) * 50 * ms
+		ask(b, now, id, safeClass)
+		end(b, now+ms, id, 0, Served)
+	}
+	if want := firstRequests/firstProbeEvery + 160/thinProbeEvery; len(h.probes) != want {
+		t.Fatalf("%d probes, want %d", len(h.probes), want)
+	}
+}
--- a/policy/health.go
+++ b/policy/health.go
@@ -20,6 +20,7 @@
 		x := float64(took) / float64(r.class.Aim)
 		s.used += (x*x - s.used) / 8
 	}
+	b.queued(now, r, s, took, end)
 	switch end {
 	case Served:
 		r.class.pace += (took - r.class.pace) / 16
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,15 +23,9 @@
 	serverSlots = 3.0  // slots for each server first listed, where no quota is known
 	placesShare = 0.15 // queue places for each slot: short, just enough to keep slots fed
 
-	thinRate   = 1.0             // own requests a second for each server; below, traffic is thin
-	knocks     = 2               // servers asked at once: the second choice brings most of the gain
-	crowdedAt  = 0.3             // a server that takes this share of the aim to answer a knock is crowded
-	knockPrior = 10.0            // requests taken to have gone well, in weighing what a knock may cost
-	shedMemory = 2 * time.Second // about a deadline: a jam's way in and out
-	shedSharp  = 12.0            // how nearly all must go well for more to pass: 1.3 times at nine tenths
-	shedSlack  = 0.5             // passed in any case: fewer tell nothing
-	probeEvery = 2               // requests for each load report asked for, where traffic is not thin
-	coldPart   = 0.5             // of a cold server's budget this much is used, the rest is left to chance
+	thinRate  = 1.0 // own requests a second for each server; below, traffic is thin
+	crowdedAt = 0.3 // a server whose answers take this share of the aim is crowded
+	coldPart  = 0.5 // of a cold server's budget this much is used, the rest is left to chance
 )
 
 // New makes a Balancer, or returns an error that names the unusable field.
@@ -99,7 +93,7 @@
 		b.host.Refuse(q.ID, 0)
 		return
 	}
-	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant]}
+	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant], work: q.Work}
 	r.deadline = now + min(q.Left, time.Hour)
 	begun := now // of the client's first try; a later one comes with less time left than others lately
 	r.class.longest = max(q.Left, r.class.longest-(r.class.longest-q.Left)/64)
@@ -118,7 +112,7 @@
 	if late {
 		r.useful, r.aimAt = r.deadline, r.deadline
 	}
-	if b.thin && (late || b.shed(now, r)) {
+	if b.thin && late && b.rng.Float64()*lateRoom < b.atRest(now, false) {
 		b.count.Shed++
 		b.finish(r)
 		return
@@ -147,9 +141,6 @@
 	r.out--
 	r.home.used--
 	b.judge(now, r, a, o.Ending)
-	if o.Ending == Served && !r.over && now <= r.aimAt {
-		b.good++
-	}
 	switch {
 	case r.over && r.out == 0:
 		delete(b.requests, r.id)
@@ -187,9 +178,6 @@
 	b.feed(now)
 	soon := now + 2*max(busyTick, b.cfg.Tick)
 	for _, r := range b.open {
-		if r.knocking && now >= r.goAt {
-			b.enterBest(now, r)
-		}
 		waited := r.out == 0 && (soon > r.deadline || now >= r.lateIn() || !r.mayRepeat(now, nil))
 		if !r.over && !r.begun && (waited || now >= r.deadline) {
 			b.finish(r)
@@ -203,22 +191,6 @@
 	b.wake(now, idleTick)
 }
 
-// shed says whether to refuse a request at once: a wall of less than a slot. Where
-// servers are jammed, clients' further tries and work nobody waits for keep them so,
-// and even one slot a balancer is too many. Each lets through a multiple of what was
-// answered within its aim lately, so that the fleet can rest, and all comes back.
-func (b *Balancer) shed(now time.Duration, r *request) bool {
-	fade := math.Exp(-float64(now-b.fadedAt) / float64(shedMemory))
-	b.fadedAt = now
-	b.good, b.tried, b.asked, b.cheap = b.good*fade, b.tried*fade, b.asked*fade, b.cheap*fade
-	room := b.good * (1 + math.Pow(b.good/max(b.tried, b.good, 1), shedSharp))
-	pass := (shedSlack + room) / (b.asked + shedSlack)
-	r.cheap = 1 / max(r.class.Worth, 1e-9)
-	r.shed = pass < 1 && // the exponent is set against its mean, so that no more is shed than meant
-		b.rng.Float64() > math.Pow(pass, r.cheap*(b.asked+1)/(b.cheap+r.cheap))
-	return r.shed
-}
-
 // lateIn is when a wait stops being worth it: servers would work for answers that come late.
 func (r *request) lateIn() time.Duration { return r.aimAt - min(2*r.class.pace, r.class.Aim/2) }
 
@@ -228,80 +200,33 @@
 		return false
 	}
 	s := b.pick(now, r)
-	// Probes have a price: as long as less goes wrong than they cost, the turn alone decides.
-	if s != nil && b.thin && 1+b.asked-b.good > knocks*b.cfg.ProbePrice*(b.asked+knockPrior) {
-		return b.knock(now, r, s)
-	}
 	return s != nil && b.send(now, r, s)
 }
 
-// knock asks the server whose turn it is, and the next, for a sign of life, and
-// holds the request in its slot meanwhile: where own traffic is thin nothing
-// else tells a jammed or silent server from a good one in time.
-func (b *Balancer) knock(now time.Duration, r *request, s *server) bool {
-	r.home.used++
-	r.knocking, r.best, r.unheard = true, nil, 0
-	r.goAt = now + time.Duration(crowdedAt*float64(r.class.Aim)) // no answer by then: crowded
-	for ; s != nil; s = b.pick(now, r) {
-		r.knocked = append(r.knocked, s)
-		s.door = append(s.door, r)
-		b.host.Probe(s.ID)
-		if r.unheard++; r.unheard == knocks {
-			break
-		}
-	}
-	return true
-}
-
-// Probed takes the result of a probe: for its load report, and for the request that knocked.
+// Probed takes the result of a probe.
 func (b *Balancer) Probed(now time.Duration, id ServerID, ok bool, l Load) {
 	s := b.server(id)
-	held := -1.0
-	if s != nil && ok {
-		if held = s.held(l); held >= 0 {
-			s.toldAt, s.others = now, max(0, held-float64(s.out))
-		}
-	}
-	if s == nil || len(s.door) == 0 {
+	if s == nil {
 		return
 	}
-	r := s.door[0]
-	s.door = s.door[1:]
 	if !ok { // what is held against it only an answer to a request takes back
 		b.strike(now, s)
+		b.feed(now)
+		return
 	}
-	if r.knocking {
-		load := (1 + max(0, held)) / (s.Weight * b.warmth(now, s))
-		if r.unheard--; ok && (r.best == nil || load < r.bestLoad) {
-			r.best, r.bestLoad, r.goAt = s, load, now
-			if held >= 0 { // the other may be less loaded: it gets a moment more
-				r.goAt = now + 2*b.cfg.Tick
-				b.wake(now, 2*b.cfg.Tick)
-			}
-		}
-		if r.unheard == 0 || now >= r.goAt {
-			b.enterBest(now, r)
-		}
+	if held := s.held(l); held >= 0 {
+		s.toldAt, s.others = now, max(0, held-float64(s.out))
 	}
-	b.feed(now)
-}
-
-// enterBest sends a request to the best server that answered its knock; where none did it knocks elsewhere.
-func (b *Balancer) enterBest(now time.Duration, r *request) {
-	r.knocking = false
-	r.home.used--
-	if r.best == nil || now >= r.lateIn() || !b.send(now, r, r.best) {
-		b.further(now, r)
-		return
+	if now >= s.warmAt {
+		b.measure(s, l)
 	}
-	r.unheard = 0
-	b.count.Knocked++
+	b.feed(now)
 }
 
 // further gives a request whose attempts have all failed another one, or ends it.
 func (b *Balancer) further(now time.Duration, r *request) {
-	switch tries := max(len(r.attempts), len(r.knocked)/knocks); {
-	case r.unheard > 0 || tries >= b.cfg.MaxAttempts || !r.mayRepeat(now, nil) || now >= r.lateIn():
+	switch {
+	case len(r.attempts) >= b.cfg.MaxAttempts || !r.mayRepeat(now, nil) || now >= r.lateIn():
 		b.finish(r)
 	case !b.dispatch(now, r):
 		r.home.queue = slices.Insert(r.home.queue, 0, r) // it has waited already: to the front
@@ -397,17 +322,30 @@
 func (b *Balancer) pick(now time.Duration, r *request) *server {
 	var best *server
 	total, lost := 0.0, math.Inf(-1)
+	far := 0.0 // how much of its turns a server of another zone gets
+	if b.thin && b.cfg.CrossZonePrice > 0 {
+		if rest := b.atRest(now, true); rest > spillFrom {
+			far = rest
+		}
+	}
 	for near := b.cfg.CrossZonePrice > 0; ; near = false {
 		for _, s := range b.servers {
 			switch {
-			case (near && (s.Zone != b.cfg.Zone || b.thin && s.spare)) || r.tried(s) || !b.mayGo(now, r, s):
+			case near && (far == 0 && s.Zone != b.cfg.Zone || b.thin && s.spare),
+				r.tried(s), !b.mayGo(now, r, s):
+				continue
+			case b.resting(now, s):
+				lost = max(lost, s.turn+s.size)
 				continue
 			case b.well > 0 && s.unwell && (now < s.trialAt || s.out > 0), float64(s.out) >= b.portion(s),
 				now-s.toldAt < time.Second && s.others+float64(s.out) >= 2+b.part(b.mean, s): // reported full
-				lost = max(lost, s.turn+s.Weight)
+				lost = max(lost, s.turn+s.size)
 				continue
 			}
-			w := s.Weight * b.warmth(now, s)
+			w := s.size * b.warmth(now, s)
+			if near && s.Zone != b.cfg.Zone {
+				w *= far
+			}
 			s.turn += w
 			total += w
 			if best == nil || s.turn > best.turn {
@@ -478,6 +416,7 @@
 	}
 	fresh := e.Started > s.Started
 	s.Server = e
+	s.size = b.capacity(e.Weight)
 	if fresh { // cold, and nothing known of it holds any more
 		s.warmAt = max(s.warmAt, e.Started+b.cfg.ColdTime)
 		s.unwell, s.strikes, s.doubted, s.heard = false, 0, false, now
@@ -492,16 +431,6 @@
 	b.host.WatchList()
 }
 
-// probe asks the next server for a load report, as often as requests pay for it.
-func (b *Balancer) probe() {
-	b.probes++
-	if n := len(b.servers); b.cfg.Reports && !b.thin && b.probes%probeEvery == 0 && n > 0 {
-		if s := b.servers[b.probes/probeEvery%n]; s.State == Ready {
-			b.host.Probe(s.ID)
-		}
-	}
-}
-
 // finish is the one place that answers: refused where that is true, failed where it is not.
 func (b *Balancer) finish(r *request) {
 	if r.ran() == nil || r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Scope == ScopeAll) {
@@ -518,16 +447,6 @@
 // settle closes a request that has its answer: out of the queue, attempts called off.
 func (b *Balancer) settle(r *request) {
 	r.over = true
-	if r.shed || len(r.attempts)+len(r.knocked) > 0 { // what our own full walls refuse tells nothing
-		b.asked, b.cheap = b.asked+1, b.cheap+r.cheap
-		if !r.shed {
-			b.tried++
-		}
-	}
-	if r.knocking {
-		r.knocking = false
-		r.home.used--
-	}
 	if i := slices.Index(r.home.queue, r); i >= 0 {
 		r.home.queue = slices.Delete(r.home.queue, i, i+1)
 	}
--- /dev/null
+++ b/policy/rest.go
@@ -0,0 +1,64 @@
+package policy
+
+import "time"
+
+// Rests: a server that answers from behind a queue is passed over for a while, as
+// in outlier ejection. Where own traffic is thin a balancer has one request at a
+// server at most and learns of its queue from that one's answer alone; going on in
+// turn, all balancers together keep the queue up. With every slow answer the rest
+// grows, with the first quick one it is over. So a jam of some servers moves the
+// traffic to others, first to those near and then to the other zones, and only a
+// jam of all of them makes requests wait, and be refused when the queue is full.
+
+const (
+	// slowPart is the share of the aim after which an answer shows a queue: what is
+	// sent while this one waits comes behind it, and has to be in time too.
+	slowPart = 0.4
+	// slowWork is the multiple of a request's own expected work that is no queue.
+	slowWork = 2.0
+	// firstRest is about the time in which a queue that costs slowPart is worked off.
+	firstRest = 500 * time.Millisecond
+	// lastRest bounds how long a server that has recovered goes unused.
+	lastRest = 4 * time.Second
+	// lateRoom is the share of servers at rest at which nothing late is sent any
+	// more: it earns less, and takes the places of what is in time.
+	lateRoom = 0.3
+	// spillFrom is the share of near servers at rest up to which crossing zones is
+	// not worth its price.
+	spillFrom = 0.1
+)
+
+// queued learns from an attempt's end whether its server has a queue.
+func (b *Balancer) queued(now time.Duration, r *request, s *server, took time.Duration, end Ending) {
+	slow := float64(took) > slowPart*float64(r.class.Aim)+slowWork*float64(r.work)
+	switch {
+	case end == TurnedAway || (slow && (end == Served || end == TimedOut)):
+		pause := min(firstRest<<min(s.slow, 16), lastRest) // spread: balancers must not come back as one
+		s.restTill = now + time.Duration(float64(pause)*(0.5+b.rng.Float64()))
+		s.slow++
+	case end == Served:
+		s.slow, s.restTill = 0, 0
+	}
+}
+
+// resting says whether a server is passed over for its queue.
+func (b *Balancer) resting(now time.Duration, s *server) bool { return b.thin && now < s.restTill }
+
+// atRest is the share of the ready servers, near ones or all, that get no turn for
+// their queues or for what is held against them.
+func (b *Balancer) atRest(now time.Duration, near bool) float64 {
+	all, idle := 0.0, 0.0
+	for _, s := range b.servers {
+		if s.State != Ready || s.spare || (near && s.Zone != b.cfg.Zone) {
+			continue
+		}
+		all += s.size
+		if s.unwell || b.resting(now, s) {
+			idle += s.size
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return idle / all
+}
--- /dev/null
+++ b/policy/rest_test.go
@@ -0,0 +1,171 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// thinConfig is that of one of many balancers, with little traffic to each server.
+func thinConfig() Config {
+	cfg := testConfig()
+	cfg.Balancers, cfg.MayProbe, cfg.Slots = 1000, true, 8
+	return cfg
+}
+
+// slowTook is long enough to show a queue where the aim is a second.
+const slowTook = 600 * ms
+
+// Guards against this: every balancer goes on sending in turn to a server with a
+// queue, as none of them has more than one request there.
+func TestServerBehindAQueueRests(t *testing.T) {
+	b, h := start(t, thinConfig(), ready(1, 2))
+	rest := func(now time.Duration, id RequestID) time.Duration {
+		for ; ; id++ { // until it is its turn
+			ask(b, now, id, safeClass)
+			if h.sends[len(h.sends)-1].to == 1 {
+				end(b, now+slowTook, id, 0, Served)
+				return b.server(1).restTill - now - slowTook
+			}
+			end(b, now+ms, id, 0, Served)
+		}
+	}
+	pause := rest(0, 0)
+	if pause < firstRest/2 || pause > firstRest*3/2 {
+		t.Fatalf("a rest of %v, want about %v", pause, firstRest)
+	}
+	before := h.sentTo(1)
+	for id := RequestID(100); id < 110; id++ {
+		ask(b, slowTook+ms, id, safeClass)
+		end(b, slowTook+2*ms, id, 0, Served)
+	}
+	if h.sentTo(1) != before {
+		t.Fatal("a server at rest got a turn though another is well")
+	}
+	if more := rest(5*time.Second, 200); more < firstRest || b.server(1).slow != 2 {
+		t.Fatalf("a second slow answer brings a rest of %v after %v, want a longer one", more, pause)
+	}
+	for id := RequestID(300); id < 310; id++ { // quick ones
+		ask(b, 10*time.Second, id, safeClass)
+		end(b, 10*time.Second+ms, id, 0, Served)
+	}
+	if b.server(1).slow != 0 {
+		t.Fatal("a quick answer does not end what was held against the server")
+	}
+}
+
+// Guards against this: what fails without a queue, or is heavy itself, passes for a jam.
+func TestOnlyQueuesBringARest(t *testing.T) {
+	for name, tt := range map[string]struct {
+		took time.Duration
+		work time.Duration
+		end  Ending
+		rest bool
+	}{
+		"quick":       {100 * ms, 0, Served, false},
+		"slow":        {slowTook, 0, Served, true},
+		"heavy":       {slowTook, 200 * ms, Served, false},
+		"timed out":   {slowTook, 0, TimedOut, true},
+		"turned away": {ms, 0, TurnedAway, true},
+		"error":       {slowTook, 0, Errored, false},
+		"broken":      {slowTook, 0, Broken, false},
+		"cancelled":   {slowTook, 0, Cancelled, false},
+	} {
+		b, _ := start(t, thinConfig(), ready(1))
+		b.Request(0, Request{ID: 1, Class: unsafeClass, Left: 3 * time.Second, Work: tt.work})
+		end(b, tt.took, 1, 0, tt.end)
+		if got := b.resting(tt.took, b.server(1)); got != tt.rest {
+			t.Errorf("%s: at rest %v, want %v", name, got, tt.rest)
+		}
+	}
+}
+
+// Guards against this: with all servers jammed each balancer goes on sending, and
+// all is answered late, or requests are held that nobody can serve in time.
+func TestNothingIsSentWhileAllRest(t *testing.T) {
+	b, h := start(t, thinConfig(), ready(1, 2))
+	for id := range RequestID(2) {
+		ask(b, 0, id, unsafeClass)
+	}
+	for id := range RequestID(2) {
+		end(b, slowTook, id, 0, Served)
+	}
+	if len(h.sends) != 2 || b.atRest(slowTook, false) != 1 {
+		t.Fatalf("set-up: sends %v, %v at rest", h.sends, b.atRest(slowTook, false))
+	}
+	for id := RequestID(10); id < 40; id++ {
+		ask(b, slowTook, id, unsafeClass)
+	}
+	if len(h.sends) != 2 || len(h.refused) < 20 {
+		t.Fatalf("%d sends, %d refused at once of 30", len(h.sends)-2, len(h.refused))
+	}
+	for now := slowTook; now < 4*time.Second; now += 10 * ms {
+		b.Wake(now)
+	}
+	if len(h.sends) == 2 {
+		t.Fatal("what waited was not sent after the rest")
+	}
+}
+
+// Guards against this: a zone's own balancers jam it while the other zone's servers idle.
+func TestRestsSpillToTheOtherZone(t *testing.T) {
+	cfg := thinConfig()
+	cfg.CrossZonePrice = 0.02
+	var list []Server
+	for id := range ServerID(40) {
+		list = append(list, Server{ID: id, Zone: int(id % 2), State: Ready, Weight: 1})
+	}
+	far := func(resting int) int {
+		b, h := start(t, cfg, list)
+		for _, s := range b.servers {
+			if s.Zone == 0 && !s.spare && resting > 0 {
+				s.restTill = time.Hour
+				resting--
+			}
+		}
+		for id := range RequestID(100) {
+			ask(b, 0, id, safeClass)
+			end(b, 0, id, 0, Served)
+		}
+		n := 0
+		for _, s := range h.sends {
+			n += int(s.to % 2)
+		}
+		return n
+	}
+	if n := far(0); n != 0 {
+		t.Errorf("%d of 100 cross zones though all near servers are well", n)
+	}
+	some := far(4)
+	if some == 0 || some > 50 {
+		t.Errorf("%d of 100 cross zones while some near servers rest", some)
+	}
+	if n := far(40); n != 100 {
+		t.Errorf("%d of 100 cross zones while all near servers rest", n)
+	}
+}
+
+// Guards against this: late further tries take the places of requests that are in time.
+func TestLateGivesWayToRests(t *testing.T) {
+	sent := func(jam bool) int {
+		b, h := start(t, thinConfig(), ready(1, 2, 3, 4))
+		for _, s := range b.servers[:2] {
+			if s.spare = false; jam {
+				s.restTill = time.Hour
+			}
+		}
+		b.Request(0, Request{ID: 100, Class: safeClass, Left: 3 * time.Second})
+		end(b, ms, 100, 0, Served)
+		before := len(h.sends)
+		for id := range RequestID(10) {
+			b.Request(ms, Request{ID: id, Class: safeClass, Left: time.Second})
+			end(b, 2*ms, id, 0, Served)
+		}
+		return len(h.sends) - before
+	}
+	if n := sent(false); n != 10 {
+		t.Errorf("%d of 10 late ones sent where there is room", n)
+	}
+	if n := sent(true); n != 0 {
+		t.Errorf("%d of 10 late ones sent though half of the servers rest", n)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,27 +3,28 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
 type server struct {
 	Server
-	out     int           // this balancer's attempts there
-	turn    float64       // smooth weighted round robin: how much its turn is due
-	heard   time.Duration // its last answer, or restart
-	toldAt  time.Duration // it last reported its load; 0: never
-	others  float64       // and then held this many requests that are not ours
-	used    float64       // mean square of the share of the aim that its answers take, lately
-	spare   bool          // not among this balancer's first choice
-	unwell  bool          // evidence was against it; it gets trials only
-	strikes int           // evidence against it since its last answer
-	doubted bool          // and one failure that may be chance
-	brokeAt time.Duration // when it failed last
-	trialAt time.Duration // next trial
-	warmAt  time.Duration // cold until then, by the list
-	coldAt  time.Duration // while cold: nothing more before this
-	door    []*request    // requests that wait for a probe's answer from it, in the order of asking
+	out      int           // this balancer's attempts there
+	size     float64       // what it can do, on the scale of the weights
+	turn     float64       // smooth weighted round robin: how much its turn is due
+	heard    time.Duration // its last answer, or restart
+	toldAt   time.Duration // it last reported its load; 0: never
+	others   float64       // and then held this many requests that are not ours
+	used     float64       // mean square of the share of the aim that its answers take, lately
+	spare    bool          // not among this balancer's first choice
+	unwell   bool          // evidence was against it; it gets trials only
+	slow     int           // answers from behind a queue since the last quick one
+	restTill time.Duration // and until then it gets no turn for them
+	strikes  int           // evidence against it since its last answer
+	doubted  bool          // and one failure that may be chance
+	brokeAt  time.Duration // when it failed last
+	trialAt  time.Duration // next trial
+	warmAt   time.Duration // cold until then, by the list
+	coldAt   time.Duration // while cold: nothing more before this
 }
 
 type attemptState int
@@ -52,14 +53,8 @@
 	begun    bool // its answer streams: it is the client's now
 	over     bool // ended; kept until its attempts have ended too
 
-	cheap    float64   // how readily it is shed
-	shed     bool      // it was
-	knocking bool      // it holds a slot and waits for a probe's answer
-	knocked  []*server // probed for it
-	unheard  int       // of those, how many have not answered
-	best     *server   // the least loaded that answered
-	bestLoad float64
-	goAt     time.Duration // when to stop waiting for a better one
+	shed bool          // refused by the share that passes
+	work time.Duration // expected; 0 where unknown
 }
 
 // compartment holds one tenant's slots and queue, walled off from the others'.
@@ -97,13 +92,9 @@
 	askAt    time.Duration // when to ask for the list next; 0: no need
 	askFails int
 	feedFrom int
-	asked    float64 // requests lately, fading
-	tried    float64 // requests lately, fading, that were not shed
-	good     float64 // requests lately, fading, that were answered within their aim
-	fadedAt  time.Duration
-	cheap    float64 // sum over the requests lately, fading: how readily they are shed
-	thin     bool    // own traffic tells too little of a server's load
+	thin     bool // own traffic tells too little of a server's load
 	probes   int
+	sizes    []size // what servers can do, by their listed weight
 	count    Counters
 }
 
@@ -143,7 +134,7 @@
 			return true
 		}
 	}
-	return slices.Contains(r.knocked, s)
+	return false
 }
 
 // server returns the listed server of that name, or nil.
