Give silent servers and zones probes instead of requests; wider walls, longer rests

At fault: health.go tries a struck server again with a request, however it failed, and knows nothing of zones, so each sidecar finds out server by server.

silence.go: a zone of which three attempts wait for 0.3 of the aim while it said nothing at all is doubted as a whole, and probed twice a second until it speaks; a server that timed out unheard, or let no connection come up, is tried with probes.

--- a/policy/health.go
+++ b/policy/health.go
@@ -21,6 +21,9 @@
 		s.used += (x*x - s.used) / 8
 	}
 	b.queued(now, r, s, took, end)
+	if end == Served || end == Errored || end == TurnedAway {
+		b.spoke(now, s)
+	}
 	switch end {
 	case Served:
 		r.class.pace += (took - r.class.pace) / 16
@@ -28,6 +31,7 @@
 		b.answered(now, s)
 	case TimedOut:
 		if s.heard <= a.sent {
+			s.silent = true
 			b.strike(now, s) // nothing at all came from it meanwhile
 		}
 	case Errored, Broken: // one may be chance; a server that fails all it gets is not
@@ -38,7 +42,10 @@
 			b.strike(now, s)
 		}
 		s.doubted = true
-	case TurnedAway, NoConnection:
+	case NoConnection:
+		s.silent = true
+		b.strike(now, s)
+	case TurnedAway:
 		b.strike(now, s)
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,7 +19,7 @@
 
 	slotAim     = 0.12 // slots hold a quota's traffic for this share of the aim (deriveSlots)
 	spread      = 2.0  // and this many standard deviations of such a count more
-	heavyShare  = 2.0  // one balancer may carry this multiple of an even part of the traffic
+	heavyShare  = 5.0  // one balancer may carry this multiple of an even part of the traffic
 	serverSlots = 3.0  // slots for each server first listed, where no quota is known
 	placesShare = 0.15 // queue places for each slot: short, just enough to keep slots fed
 
@@ -36,7 +36,7 @@
 	if len(cfg.Tenants) == 0 {
 		cfg.Tenants = []Tenant{{Share: 1}}
 	}
-	b := &Balancer{cfg: cfg, host: host, requests: make(map[RequestID]*request)}
+	b := &Balancer{cfg: cfg, host: host, requests: make(map[RequestID]*request), zones: make(map[int]*zone)}
 	b.parts = make([]compartment, len(cfg.Tenants))
 	b.rng = rand.New(rand.NewPCG(seed, 0))
 	for _, c := range cfg.Classes {
@@ -183,6 +183,8 @@
 			b.finish(r)
 		}
 	}
+	b.doubt(now)
+	b.listen(now)
 	b.open = slices.DeleteFunc(b.open, func(r *request) bool { return r.over })
 	b.wakeAt = 0
 	if len(b.open) > 0 {
@@ -209,11 +211,16 @@
 	if s == nil {
 		return
 	}
-	if !ok { // what is held against it only an answer to a request takes back
+	if !ok {
+		s.silent = true
 		b.strike(now, s)
 		b.feed(now)
 		return
 	}
+	if s.silent { // anything else that is held against it only an answer to a request takes back
+		b.answered(now, s)
+	}
+	b.spoke(now, s)
 	if held := s.held(l); held >= 0 {
 		s.toldAt, s.others = now, max(0, held-float64(s.out))
 	}
@@ -334,7 +341,7 @@
 			case near && (far == 0 && s.Zone != b.cfg.Zone || b.thin && s.spare),
 				r.tried(s), !b.mayGo(now, r, s):
 				continue
-			case b.resting(now, s):
+			case b.resting(now, s), b.cfg.MayProbe && (s.silent || b.zone(s.Zone).doubted):
 				lost = max(lost, s.turn+s.size)
 				continue
 			case b.well > 0 && s.unwell && (now < s.trialAt || s.out > 0), float64(s.out) >= b.portion(s),
@@ -399,6 +406,7 @@
 	if b.mean == 0 {
 		b.deriveSlots() // no quotas: the first list is all there is to go by
 	}
+	b.forgetZones()
 	b.weigh(now)
 	b.thin = b.cfg.MayProbe && b.quota/float64(b.cfg.Balancers*max(1, len(b.servers))) < thinRate
 	b.feed(now)
@@ -420,6 +428,8 @@
 	if fresh { // cold, and nothing known of it holds any more
 		s.warmAt = max(s.warmAt, e.Started+b.cfg.ColdTime)
 		s.unwell, s.strikes, s.doubted, s.heard = false, 0, false, now
+		s.slow, s.restTill = 0, 0
+		b.spoke(now, s)
 		// All balancers are told at once: their first sends together would push it over.
 		s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
 	}
--- a/policy/rest.go
+++ b/policy/rest.go
@@ -12,12 +12,13 @@
 
 const (
 	// slowPart is the share of the aim after which an answer shows a queue: what is
-	// sent while this one waits comes behind it, and has to be in time too.
-	slowPart = 0.4
+	// sent while this one waits comes behind it, and has to be in time too. Without
+	// a queue most answers take a tenth.
+	slowPart = 0.3
 	// slowWork is the multiple of a request's own expected work that is no queue.
 	slowWork = 2.0
-	// firstRest is about the time in which a queue that costs slowPart is worked off.
-	firstRest = 500 * time.Millisecond
+	// firstRest is a few times what working off such a queue takes, as others come too.
+	firstRest = time.Second
 	// lastRest bounds how long a server that has recovered goes unused.
 	lastRest = 4 * time.Second
 	// lateRoom is the share of servers at rest at which nothing late is sent any
@@ -37,7 +38,7 @@
 		s.restTill = now + time.Duration(float64(pause)*(0.5+b.rng.Float64()))
 		s.slow++
 	case end == Served:
-		s.slow, s.restTill = 0, 0
+		s.slow = max(0, s.slow-1)
 	}
 }
 
@@ -53,7 +54,7 @@
 			continue
 		}
 		all += s.size
-		if s.unwell || b.resting(now, s) {
+		if s.unwell || b.resting(now, s) || b.zone(s.Zone).doubted {
 			idle += s.size
 		}
 	}
--- /dev/null
+++ b/policy/silence.go
@@ -0,0 +1,105 @@
+package policy
+
+import "time"
+
+// Silence: what neither answers nor breaks. Nothing is said when a machine vanishes
+// or a zone is cut off; each request sent there is lost, and its slot with it, until
+// it times out. One balancer finds that out server by server while all of them do.
+// So a zone from which nothing at all comes any more is doubted as a whole, and a
+// server that said nothing gets probes and no requests until it speaks: a probe that
+// is lost costs a small part of a request.
+
+const (
+	// doubtSends attempts that are out for doubtPart of the aim, while their zone has
+	// said nothing since, make it doubted. One may be heavy, or its server slow.
+	doubtSends = 3
+	doubtPart  = 0.3
+	// doubtProbe is the pause between two probes into a doubted zone.
+	doubtProbe = 500 * time.Millisecond
+)
+
+// zone is what is known of the servers of one zone together.
+type zone struct {
+	heard   time.Duration // something came from one of them
+	doubted bool          // nothing comes any more
+	probeAt time.Duration // next probe while doubted
+	out     int           // attempts that wait for a word from it: doubt counts them
+}
+
+// zone returns the state of a zone.
+func (b *Balancer) zone(number int) *zone {
+	z := b.zones[number]
+	if z == nil {
+		z = new(zone)
+		b.zones[number] = z
+	}
+	return z
+}
+
+// forgetZones lets go of the zones that no listed server is in.
+func (b *Balancer) forgetZones() {
+	used := make(map[int]bool, len(b.zones))
+	for _, s := range b.servers {
+		used[s.Zone] = true
+	}
+	for number := range b.zones {
+		if !used[number] {
+			delete(b.zones, number)
+		}
+	}
+}
+
+// spoke takes that a server said something, whatever it was.
+func (b *Balancer) spoke(now time.Duration, s *server) {
+	z := b.zone(s.Zone)
+	z.heard, z.doubted = now, false
+	s.silent = false
+}
+
+// doubt looks for zones from which nothing comes any more.
+func (b *Balancer) doubt(now time.Duration) {
+	if !b.cfg.MayProbe {
+		return
+	}
+	wait := time.Duration(doubtPart * b.aim * float64(time.Second))
+	for _, z := range b.zones {
+		z.out = 0
+	}
+	for _, r := range b.open {
+		for i := range r.attempts {
+			a := &r.attempts[i]
+			z := b.zone(a.to.Zone)
+			if a.state != inFlight || z.heard > a.sent || now-a.sent < wait {
+				continue
+			}
+			if z.out++; z.out >= doubtSends && !z.doubted {
+				z.doubted, z.probeAt = true, now
+			}
+		}
+	}
+}
+
+// listen probes what says nothing: one server of a doubted zone now and then, and
+// elsewhere each silent server when its trial is due.
+func (b *Balancer) listen(now time.Duration) {
+	if !b.cfg.MayProbe {
+		return
+	}
+	for i := range b.servers { // from any of them on, so that a zone's probes go round
+		s := b.servers[(i+b.listenFrom)%len(b.servers)]
+		if s.State != Ready {
+			continue
+		}
+		switch z := b.zone(s.Zone); {
+		case z.doubted && now >= z.probeAt:
+			z.probeAt = now + time.Duration(float64(doubtProbe)*(0.5+b.rng.Float64()))
+			b.host.Probe(s.ID)
+		case !z.doubted && s.silent && !(b.thin && s.spare) && now >= s.trialAt:
+			s.trialAt = now + b.backoff(s.strikes)
+			b.host.Probe(s.ID)
+		}
+	}
+	if len(b.servers) > 0 {
+		b.listenFrom = b.rng.IntN(len(b.servers))
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -16,6 +16,7 @@
 	others   float64       // and then held this many requests that are not ours
 	used     float64       // mean square of the share of the aim that its answers take, lately
 	spare    bool          // not among this balancer's first choice
+	silent   bool          // it said nothing where it should have: probes, no requests
 	unwell   bool          // evidence was against it; it gets trials only
 	slow     int           // answers from behind a queue since the last quick one
 	restTill time.Duration // and until then it gets no turn for them
@@ -71,31 +72,33 @@
 
 // Balancer makes the decisions of one sidecar.
 type Balancer struct {
-	cfg      Config
-	host     Host
-	rng      *rand.Rand
-	classes  []class
-	parts    []compartment
-	requests map[RequestID]*request
-	open     []*request // in order of arrival; ended ones are swept out by Wake
-	servers  []*server  // in the order in which the list named them
-	slots    int        // of all compartments
-	mean     float64    // what the slots of all balancers hold while traffic is at the quotas
-	quota    float64    // of all tenants together
-	weight   float64    // of all ready servers
-	full     float64    // the most of it that there was, followed down
-	fullAt   time.Duration
-	well     float64       // of those not judged unwell
-	pace     time.Duration // usual time of an answer, over all classes
-	aim      float64       // mean aim, in seconds
-	wakeAt   time.Duration
-	askAt    time.Duration // when to ask for the list next; 0: no need
-	askFails int
-	feedFrom int
-	thin     bool // own traffic tells too little of a server's load
-	probes   int
-	sizes    []size // what servers can do, by their listed weight
-	count    Counters
+	cfg        Config
+	host       Host
+	rng        *rand.Rand
+	classes    []class
+	parts      []compartment
+	requests   map[RequestID]*request
+	open       []*request // in order of arrival; ended ones are swept out by Wake
+	servers    []*server  // in the order in which the list named them
+	slots      int        // of all compartments
+	mean       float64    // what the slots of all balancers hold while traffic is at the quotas
+	quota      float64    // of all tenants together
+	weight     float64    // of all ready servers
+	full       float64    // the most of it that there was, followed down
+	fullAt     time.Duration
+	well       float64       // of those not judged unwell
+	pace       time.Duration // usual time of an answer, over all classes
+	aim        float64       // mean aim, in seconds
+	wakeAt     time.Duration
+	askAt      time.Duration // when to ask for the list next; 0: no need
+	askFails   int
+	feedFrom   int
+	thin       bool // own traffic tells too little of a server's load
+	probes     int
+	zones      map[int]*zone
+	listenFrom int    // where listen begins
+	sizes      []size // what servers can do, by their listed weight
+	count      Counters
 }
 
 // Counters returns what was done so far.
