Keep keys to the cells that remember them, by weighted rendezvous hashing

There are 616 keys, 11 cells, and a cell remembers some 100: in turn over all servers only 46 % of the requests meet their key within a second. The module did not know the key at all (policy.Request lacked it), so each sidecar alone does no harm, and 80 of them keep every cell's memory full of everything.

Now the key ranks the cells (affinity.go) alike at every sidecar without a word between them, weighted by what the cells' servers can do. Turns go round the servers of the first cell that has one to give; rests, portions and doubts are what they were. Without keys, or where servers don't remember them, all ready servers are one cell: the turns are as before. pick and its parts move to turn.go unchanged but for that.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -200,7 +200,7 @@
 		if err != nil {
 			return err
 		}
-		r := policy.Request{ID: policy.RequestID(a.Job), Class: int(a.Kind), Tenant: int(a.Tenant), Left: a.Left}
+		r := policy.Request{ID: policy.RequestID(a.Job), Class: int(a.Kind), Tenant: int(a.Tenant), Left: a.Left, Key: a.Key}
 		r.Repeat = a.Bits&wire.BitRepeat != 0
 		if a.Bits&wire.BitHint != 0 {
 			r.Work = a.Hint
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -187,6 +187,7 @@
 		MayProbe:       s.flag("caps.probes"),
 		Reports:        s.flag("caps.probes") && s.text("telemetry.how") != "silent",
 		MaxRetryAfter:  Millis(s.number("caps.max_retry_after_ms", 0)),
+		WarmKeys:       s.flag("family_info.warm_keys"),
 		MarksRepeat:    s.flag("client_habits.marks_retry"),
 		Tick:           Millis(s.number("period_ms", 0)),
 		AskList:        s.text("discovery") == "ask",
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,6 +38,7 @@
 classes.1.hard_limit_ms=2500.0
 classes.1.semantics=a_word_of_a_later_version
 discovery=ask
+family_info.warm_keys=true
 orgs.count=1
 orgs.0.quota_per_s=342.0
 orgs.0.share=0.79
@@ -70,6 +71,9 @@
 	if c.Tenants[0].Quota != 342 || c.Tenants[0].Share != 0.79 {
 		t.Errorf("tenant %+v", c.Tenants[0])
 	}
+	if !c.WarmKeys {
+		t.Error("that servers remember keys is not read")
+	}
 	if got := s.Columns(); len(got) != 4 || got[3] != "busy_reqs" {
 		t.Errorf("columns %+v", got)
 	}
@@ -89,7 +93,7 @@
 
 // Both forms of the same settings give the same configuration.
 func TestJSONGivesTheSame(t *testing.T) {
-	s, err := ParseJSON([]byte(`{"balancers":3,"caps":{"may_cancel":true,"most_tries":3,"probes":true,"retry_after":false},
+	s, err := ParseJSON([]byte(`{"balancers":3,"family_info":{"warm_keys":true},"caps":{"may_cancel":true,"most_tries":3,"probes":true,"retry_after":false},
 		"charges":{"cross_zone":0.03},"classes":[{"name":"a b","aim_ms":500.0,"dedup_scope":"cell","hard_limit_ms":1000.0,
 		"semantics":"guarded","window_ms":600.0,"worth":5.0},{"name":"c","aim_ms":600.0,"hard_limit_ms":2500.0,
 		"semantics":"a_word_of_a_later_version"}],"discovery":"ask","orgs":[{"quota_per_s":342.0,"share":0.79}],
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"hash/fnv"
 	"io"
 	"log/slog"
 	"math"
@@ -173,7 +174,7 @@
 		h["User-Agent"] = []string{""} // none of our own either
 	}
 	return &request{
-		name: name, class: class, tenant: tenant, repeat: h.Get("Client-Retry") == "1", work: workHint(h),
+		name: name, class: class, tenant: tenant, repeat: h.Get("Client-Retry") == "1", work: workHint(h), key: keyHash(h),
 		until:  arrival.Add(max(0, timeout-answerMargin)),
 		method: method, url: hr.URL, host: hr.Host, header: h, body: body,
 		answer: make(chan answer, 1),
@@ -212,6 +213,17 @@
 	return time.Duration(min(us, float64(maxTimeout.Microseconds())) * float64(time.Microsecond))
 }
 
+// keyHash is the same at every sidecar for what a request concerns; 0 where that is not said.
+func keyHash(h http.Header) uint64 {
+	text := h.Get("Affinity-Key")
+	if text == "" {
+		return 0
+	}
+	sum := fnv.New64a()
+	io.WriteString(sum, text)
+	return max(sum.Sum64(), 1)
+}
+
 // readRequestBody reads a body of a known length.
 func readRequestBody(w http.ResponseWriter, hr *http.Request, by time.Time) ([]byte, error) {
 	if hr.ContentLength == 0 {
--- a/internal/sidecar/client_test.go
+++ b/internal/sidecar/client_test.go
@@ -453,3 +453,14 @@
 	call{class: "once", timeout: "0.5"}.request(t, "x").Write(c)
 	await(t, "the end of the answer", served)
 }
+
+// Guards against this: two sidecars, or two requests, see another key in the same field.
+func TestKeyHash(t *testing.T) {
+	of := func(key string) uint64 { return keyHash(http.Header{"Affinity-Key": {key}}) }
+	if of("7f3a") != of("7f3a") || of("7f3a") == of("7f3b") || of("7f3a") == 0 {
+		t.Errorf("hashes %x, %x", of("7f3a"), of("7f3b"))
+	}
+	if of("") != 0 || keyHash(http.Header{}) != 0 {
+		t.Error("no key has a hash")
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -23,6 +23,7 @@
 	tenant int
 	repeat bool
 	work   time.Duration // a guess at it; 0 where there is none
+	key    uint64        // a hash of what it concerns; 0 where that is not said
 	until  time.Time     // when the client gives up
 	method string
 	url    *url.URL
@@ -241,7 +242,7 @@
 	r.id = l.lastID
 	l.requests[r.id] = r
 	l.b.Request(l.now, policy.Request{
-		ID: r.id, Class: r.class, Tenant: r.tenant, Repeat: r.repeat, Work: r.work, Left: time.Until(r.until),
+		ID: r.id, Class: r.class, Tenant: r.tenant, Repeat: r.repeat, Work: r.work, Key: r.key, Left: time.Until(r.until),
 	})
 }
 
--- /dev/null
+++ b/policy/affinity.go
@@ -0,0 +1,66 @@
+package policy
+
+import "math"
+
+// Affinity: a server that met a key lately does about half the work for it, and the
+// servers of a cell share what they have met; they remember only so many. Balancers
+// that send in turn show every key to every cell, which then remembers few of them.
+// They need no word of each other to do better: weighted rendezvous hashing makes
+// all of them rank the cells alike for a key. A key whose first cell has no turn to
+// give goes to its second, which is the same at all balancers again.
+
+// cell is one cell of the servers that a request may go to.
+type cell struct {
+	number int
+	weight float64 // of its servers
+	open   bool    // one of them has a turn to give
+}
+
+// cellOf is the cell of a server to a request; without a key all are one.
+func (b *Balancer) cellOf(r *request, s *server) int {
+	if r.key == 0 || !b.cfg.WarmKeys {
+		return 0
+	}
+	return s.Cell
+}
+
+// addCell counts a server to its cell.
+func (b *Balancer) addCell(r *request, s *server) {
+	number := b.cellOf(r, s)
+	for i := range b.cells {
+		if c := &b.cells[i]; c.number == number {
+			c.weight += s.weighs
+			c.open = c.open || s.turnable
+			return
+		}
+	}
+	b.cells = append(b.cells, cell{number, s.weighs, s.turnable})
+}
+
+// warmest is the first cell in the key's order that has a turn to give, or nil.
+func (b *Balancer) warmest(r *request) *cell {
+	var best *cell
+	rank := math.Inf(1)
+	for i := range b.cells {
+		if c := &b.cells[i]; c.open {
+			if own := rendezvous(r.key, c.number, c.weight); best == nil || own < rank {
+				best, rank = c, own
+			}
+		}
+	}
+	return best
+}
+
+// rendezvous ranks a cell for a key, the least first: over many keys each cell comes
+// first in proportion to its weight, and one that leaves moves no other cell's keys.
+func rendezvous(key uint64, cell int, weight float64) float64 {
+	x := mix(key ^ mix(uint64(cell)+0x9e3779b97f4a7c15))
+	return -math.Log((float64(x>>11)+0.5)/(1<<53)) / max(weight, 1e-9)
+}
+
+// mix spreads the bits of a number evenly (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/policy/affinity_test.go
@@ -0,0 +1,115 @@
+package policy
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// warmConfig is that of one of many balancers, where servers remember keys.
+func warmConfig() Config {
+	cfg := testConfig()
+	cfg.WarmKeys, cfg.Slots = true, 100
+	return cfg
+}
+
+// cells lists n cells of three servers each; the ids of cell c are 10c, 10c+1 and 10c+2.
+func cells(n int) []Server {
+	var list []Server
+	for c := range n {
+		for i := range 3 {
+			list = append(list, Server{ID: ServerID(10*c + i), Cell: c, State: Ready, Weight: 1})
+		}
+	}
+	return list
+}
+
+// cellFor asks for a key and returns the cell that its request went to.
+func cellFor(b *Balancer, h *fakeHost, now time.Duration, key uint64) int {
+	id := RequestID(len(h.sends) + 1000)
+	b.Request(now, Request{ID: id, Class: safeClass, Left: 3 * time.Second, Key: key})
+	to := h.sends[len(h.sends)-1].to
+	end(b, now, id, 0, Served)
+	return int(to / 10)
+}
+
+// Guards against this: every balancer shows every key to every cell, and none remembers many.
+func TestBalancersAgreeOnTheCellOfAKey(t *testing.T) {
+	list := cells(5)
+	b1, h1 := start(t, warmConfig(), list)
+	for i, j := 0, len(list)-1; i < j; i, j = i+1, j-1 { // in another order
+		list[i], list[j] = list[j], list[i]
+	}
+	b2, h2 := start(t, warmConfig(), list)
+	count := make([]int, 5)
+	for key := range uint64(1000) {
+		first := cellFor(b1, h1, 0, key+1)
+		if again := cellFor(b1, h1, 0, key+1); again != first {
+			t.Fatalf("key %d goes to cell %d and then to %d", key+1, first, again)
+		}
+		if other := cellFor(b2, h2, 0, key+1); other != first {
+			t.Fatalf("key %d goes to cell %d here and to %d there", key+1, first, other)
+		}
+		count[first]++
+	}
+	for c, n := range count {
+		if n < 150 || n > 250 {
+			t.Errorf("cell %d has %d of 1000 keys, want about 200", c, n)
+		}
+	}
+	turns := map[ServerID]int{}
+	for _, s := range h1.sends {
+		turns[s.to]++
+	}
+	for c := range 5 {
+		for i := range 3 {
+			if id := ServerID(10*c + i); math.Abs(float64(turns[id])-float64(2*count[c])/3) > 2 {
+				t.Errorf("server %d got %d of its cell's %d, want even turns", id, turns[id], 2*count[c])
+			}
+		}
+	}
+}
+
+// Guards against this: a cell that rests or leaves takes the other cells' keys apart.
+func TestKeysOfAnotherCellStay(t *testing.T) {
+	b, h := start(t, warmConfig(), cells(5))
+	before := map[uint64]int{}
+	for key := range uint64(300) {
+		before[key+1] = cellFor(b, h, 0, key+1)
+	}
+	b.List(0, ListFull, cells(4)) // the last one leaves
+	second := map[uint64]int{}
+	for key := range uint64(300) {
+		c := cellFor(b, h, 0, key+1)
+		if before[key+1] != 4 && c != before[key+1] {
+			t.Fatalf("key %d moved from cell %d to %d", key+1, before[key+1], c)
+		}
+		second[key+1] = c
+	}
+	b, h = start(t, warmConfig(), cells(5))
+	for _, s := range b.servers {
+		if s.Cell == 4 {
+			s.silent = true
+		}
+	}
+	b.cfg.MayProbe = true
+	for key := range uint64(300) {
+		if c := cellFor(b, h, 0, key+1); c != second[key+1] {
+			t.Fatalf("key %d goes to cell %d, its second is %d", key+1, c, second[key+1])
+		}
+	}
+}
+
+// Guards against this: requests without a key all go to one cell.
+func TestWithoutAKeyAllServersTakeTurns(t *testing.T) {
+	b, h := start(t, warmConfig(), cells(3))
+	for id := range RequestID(90) {
+		ask(b, 0, id, safeClass)
+		end(b, 0, id, 0, Served)
+	}
+	for _, s := range b.servers {
+		if n := h.sentTo(s.ID); n != 10 {
+			t.Errorf("%d of 90 to server %d, want 10", n, s.ID)
+		}
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -67,6 +67,7 @@
 	MayProbe      bool          // Host.Probe may be used
 	Reports       bool          // probes bring load reports
 	MaxRetryAfter time.Duration // the longest pause that clients heed
+	WarmKeys      bool          // a server that met a key lately needs less work for it
 	MarksRepeat   bool          // clients mark their own further tries: Request.Repeat
 
 	Tick time.Duration // events come at most this often
@@ -120,6 +121,7 @@
 	Tenant int
 	Left   time.Duration // until the client gives up
 	Work   time.Duration // expected work; 0 where unknown
+	Key    uint64        // what it concerns; requests of one key belong together; 0: none
 	Repeat bool          // known to be a client's own further try
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -93,7 +93,7 @@
 		b.host.Refuse(q.ID, 0)
 		return
 	}
-	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant], work: q.Work}
+	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant], work: q.Work, key: q.Key}
 	r.deadline = now + min(q.Left, time.Hour)
 	begun := now // of the client's first try; a later one comes with less time left than others lately
 	r.class.longest = max(q.Left, r.class.longest-(r.class.longest-q.Left)/64)
@@ -322,68 +322,6 @@
 	return max(0.05, 1-left*(1-b.cfg.ColdFrom))
 }
 
-// pick is smooth weighted round robin over the ready servers, first those of the own zone where crossing
-// has a price, and of these a drawn half where traffic is thin (connections cost). A server loses its
-// turn while it holds its portion of our attempts (an inner wall), while it is judged unwell, but for a
-// trial now and then, or if the request has been there already.
-func (b *Balancer) pick(now time.Duration, r *request) *server {
-	var best *server
-	total, lost := 0.0, math.Inf(-1)
-	far := 0.0 // how much of its turns a server of another zone gets
-	if b.thin && b.cfg.CrossZonePrice > 0 {
-		if rest := b.atRest(now, true); rest > spillFrom {
-			far = rest
-		}
-	}
-	for near := b.cfg.CrossZonePrice > 0; ; near = false {
-		for _, s := range b.servers {
-			switch {
-			case near && (far == 0 && s.Zone != b.cfg.Zone || b.thin && s.spare),
-				r.tried(s), !b.mayGo(now, r, s):
-				continue
-			case b.resting(now, s), b.cfg.MayProbe && (s.silent || b.zone(s.Zone).doubted):
-				lost = max(lost, s.turn+s.size)
-				continue
-			case b.well > 0 && s.unwell && (now < s.trialAt || s.out > 0), float64(s.out) >= b.portion(s),
-				now-s.toldAt < time.Second && s.others+float64(s.out) >= 2+b.part(b.mean, s): // reported full
-				lost = max(lost, s.turn+s.size)
-				continue
-			}
-			w := s.size * b.warmth(now, s)
-			if near && s.Zone != b.cfg.Zone {
-				w *= far
-			}
-			s.turn += w
-			total += w
-			if best == nil || s.turn > best.turn {
-				best = s
-			}
-		}
-		if best != nil || !near {
-			break
-		}
-	}
-	switch {
-	case best == nil:
-		return nil
-	case best.unwell:
-		b.count.Trials++
-		best.trialAt = now + b.backoff(best.strikes)
-	case best.turn >= lost:
-		b.count.Ordinary++
-	default:
-		b.count.Passed++
-	}
-	best.turn -= total
-	return best
-}
-
-// portion is how many of our attempts a server may hold: its part of all our slots, less the more
-// of the aim its answers take. It does not grow when others leave or fail: the last would be overrun.
-func (b *Balancer) portion(s *server) float64 {
-	return max(1, b.part(float64(b.slots), s)*min(1, crowdedAt*crowdedAt/max(s.used, 1e-4)))
-}
-
 // List takes news of the server list.
 func (b *Balancer) List(now time.Duration, kind ListKind, entries []Server) {
 	if kind == ListFailed {
--- a/policy/state.go
+++ b/policy/state.go
@@ -10,6 +10,8 @@
 	Server
 	out      int           // this balancer's attempts there
 	size     float64       // what it can do, on the scale of the weights
+	weighs   float64       // in the pick under way: its weight, 0 where it can't take the request
+	turnable bool          // and whether it has a turn to give
 	turn     float64       // smooth weighted round robin: how much its turn is due
 	heard    time.Duration // its last answer, or restart
 	toldAt   time.Duration // it last reported its load; 0: never
@@ -44,6 +46,7 @@
 
 type request struct {
 	id       RequestID
+	key      uint64 // what it concerns; 0: nothing known
 	class    *class
 	home     *compartment
 	deadline time.Duration // the client's
@@ -97,6 +100,7 @@
 	probes     int
 	zones      map[int]*zone
 	listenFrom int    // where listen begins
+	cells      []cell // of the pick under way
 	sizes      []size // what servers can do, by their listed weight
 	count      Counters
 }
--- /dev/null
+++ b/policy/turn.go
@@ -0,0 +1,98 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+// spared says whether a server is not among those that this balancer keeps to where
+// it can: connections cost, and where traffic is thin half of the servers are enough.
+func (b *Balancer) spared(s *server) bool { return b.thin && s.spare }
+
+// far is how much of its turns a server of another zone gets. Crossing has a price:
+// where traffic is thin none, until servers of the own zone rest.
+func (b *Balancer) far(now time.Duration) float64 {
+	if !b.thin || b.cfg.CrossZonePrice <= 0 {
+		return 0
+	}
+	if rest := b.atRest(now, true); rest > spillFrom {
+		return rest
+	}
+	return 0
+}
+
+// pick is smooth weighted round robin over the ready servers: of the cell that has
+// the request's key warm, or the next one, where there are such; first over those
+// that this balancer keeps to, and then over all. A server loses its turn while it
+// holds its portion of our attempts (an inner wall), while it rests, is silent or is
+// judged unwell, but for a trial now and then, or if the request has been there already.
+func (b *Balancer) pick(now time.Duration, r *request) *server {
+	far := b.far(now)
+	for near := b.cfg.CrossZonePrice > 0; ; near = false {
+		b.cells = b.cells[:0]
+		for _, s := range b.servers {
+			s.turnable, s.weighs = false, 0
+			if near && (far == 0 && s.Zone != b.cfg.Zone || b.spared(s)) || r.tried(s) || !b.mayGo(now, r, s) {
+				continue
+			}
+			if s.weighs = s.size * b.warmth(now, s); near && s.Zone != b.cfg.Zone {
+				s.weighs *= far
+			}
+			s.turnable = b.turnable(now, s)
+			b.addCell(r, s)
+		}
+		if c := b.warmest(r); c != nil {
+			return b.turn(now, r, c.number)
+		}
+		if !near {
+			return nil
+		}
+	}
+}
+
+// turnable says whether nothing is held against a server at the moment.
+func (b *Balancer) turnable(now time.Duration, s *server) bool {
+	switch {
+	case b.resting(now, s), b.cfg.MayProbe && (s.silent || b.zone(s.Zone).doubted),
+		b.well > 0 && s.unwell && (now < s.trialAt || s.out > 0), float64(s.out) >= b.portion(s),
+		now-s.toldAt < time.Second && s.others+float64(s.out) >= 2+b.part(b.mean, s): // reported full
+		return false
+	}
+	return true
+}
+
+// turn gives the next turn among the servers of a cell.
+func (b *Balancer) turn(now time.Duration, r *request, cell int) *server {
+	var best *server
+	total, lost := 0.0, math.Inf(-1)
+	for _, s := range b.servers {
+		switch {
+		case s.weighs == 0 || b.cellOf(r, s) != cell:
+		case !s.turnable:
+			lost = max(lost, s.turn+s.weighs)
+		default:
+			s.turn += s.weighs
+			total += s.weighs
+			if best == nil || s.turn > best.turn {
+				best = s
+			}
+		}
+	}
+	switch {
+	case best.unwell:
+		b.count.Trials++
+		best.trialAt = now + b.backoff(best.strikes)
+	case best.turn >= lost:
+		b.count.Ordinary++
+	default:
+		b.count.Passed++
+	}
+	best.turn -= total
+	return best
+}
+
+// portion is how many of our attempts a server may hold: its part of all our slots, less the more
+// of the aim its answers take. It does not grow when others leave or fail: the last would be overrun.
+func (b *Balancer) portion(s *server) float64 {
+	return max(1, b.part(float64(b.slots), s)*min(1, crowdedAt*crowdedAt/max(s.used, 1e-4)))
+}
