Pause between calls for the list by the number of balancers, so that calls get in

The 56 sidecars, restarted at 12.95 s, know the servers of 2 s: 250 to 450 connects a second fail, and the new servers stand idle. At fault: Balancer.List set the next call by backoff(), 0.25 s at first. That is little for one caller and a storm for 80.

Ruled out: that discovery is down.

ask.go holds the calls: the pause begins at 40 ms for each balancer there is (3.2 s for 80; a fleet of four is served as before), doubles up to half of the time after which silence counts as being told, and is spread by half.

--- /dev/null
+++ b/policy/ask.go
@@ -0,0 +1,32 @@
+package policy
+
+import (
+	"cmp"
+	"time"
+)
+
+// Asking for the server list. One service answers all balancers in turn, and a call
+// that has waited too long fails, though it has cost what it cost. When its watches
+// break they break for many balancers at once; if all of these call again within the
+// time that the service takes for all their calls, each call waits behind those that
+// are to fail, and none gets the list. So the pause after a failure grows with the
+// number of balancers.
+
+// askEach is what the list service is given for each balancer's call: a call is a
+// list of some ten to eighty lines, which takes it up to 75 ms when it is short of
+// time, and the half of the balancers may have been cut off at once.
+const askEach = 40 * time.Millisecond
+
+// ask subscribes to the list. Without any word it asks again before its silence counts as being told.
+func (b *Balancer) ask(now time.Duration) {
+	b.askAt = now + cmp.Or(b.cfg.AskWithin*3/4, lastPause)
+	b.host.WatchList()
+}
+
+// askAgain sets the next call after one that failed, spread so that balancers do not act as one.
+func (b *Balancer) askAgain(now time.Duration) {
+	least := max(firstPause, askEach*time.Duration(b.cfg.Balancers))
+	pause := min(least<<min(b.askFails, 16), max(lastPause, b.cfg.AskWithin/2))
+	b.askAt = now + time.Duration(float64(pause)*(0.5+b.rng.Float64()))
+	b.askFails++
+}
--- a/policy/health.go
+++ b/policy/health.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	firstPause = 250 * time.Millisecond // before a server judged unwell is tried again, or the
-	lastPause  = 4 * time.Second        // list asked for; doubled after each failure up to this
+	firstPause = 250 * time.Millisecond // before a server judged unwell is tried again
+	lastPause  = 4 * time.Second        // doubled after each failure up to this
 )
 
 // backoff is the pause after n failures, spread so that balancers do not act as one.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -325,8 +325,7 @@
 // List takes news of the server list.
 func (b *Balancer) List(now time.Duration, kind ListKind, entries []Server) {
 	if kind == ListFailed {
-		b.askAt = now + b.backoff(b.askFails)
-		b.askFails++
+		b.askAgain(now)
 		return
 	}
 	if kind != ListCached && b.cfg.AskList {
@@ -373,12 +372,6 @@
 	}
 }
 
-// ask subscribes to the list. Without any word it asks again before its silence counts as being told.
-func (b *Balancer) ask(now time.Duration) {
-	b.askAt = now + cmp.Or(b.cfg.AskWithin*3/4, lastPause)
-	b.host.WatchList()
-}
-
 // finish is the one place that answers: refused where that is true, failed where it is not.
 func (b *Balancer) finish(r *request) {
 	if r.ran() == nil || r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Scope == ScopeAll) {
