Let a server rest for at least four times what its slow answer took

At fault: queued() knew one bit of an answer, slow or not. What it took is how deep the queue is.

Ruled out: cold servers (they get 0.4 of their full rate, as their share says).

--- a/policy/rest.go
+++ b/policy/rest.go
@@ -19,6 +19,9 @@
 	slowWork = 2.0
 	// firstRest is a few times what working off such a queue takes, as others come too.
 	firstRest = time.Second
+	// restFor is how many times an answer's own time the server rests at least: what
+	// it took is what everybody sent there waits for.
+	restFor = 4
 	// lastRest bounds how long a server that has recovered goes unused.
 	lastRest = 4 * time.Second
 	// lateRoom is the share of servers at rest at which nothing late is sent any
@@ -34,7 +37,7 @@
 	slow := float64(took) > slowPart*float64(r.class.Aim)+slowWork*float64(r.work)
 	switch {
 	case end == TurnedAway || (slow && (end == Served || end == TimedOut)):
-		pause := min(firstRest<<min(s.slow, 16), lastRest) // spread: balancers must not come back as one
+		pause := min(max(firstRest<<min(s.slow, 16), restFor*took), lastRest) // spread: balancers must not come back as one
 		s.restTill = now + time.Duration(float64(pause)*(0.5+b.rng.Float64()))
 		s.slow++
 	case end == Served:
