--- a/policy/capacity.go
+++ b/policy/capacity.go
@@ -14,10 +14,9 @@
 	// sizeMemory is how many busy reports are remembered: about a minute of them.
 	sizeMemory = 60.0
 	// probeEvery is how many requests there are for each report that is asked for.
-	probeEvery = 2
-	// thinProbeEvery is the same where traffic is thin: reports tell of the fleet
-	// then and not of one server, and all balancers' probes add up.
-	thinProbeEvery = 16
+	// Every one has a price, and those of all balancers add up: a sixteenth of the
+	// price of a probe for each request tells enough of the fleet.
+	probeEvery = 16
 	// Nothing is known at the start: the first reports come thicker.
 	firstRequests, firstProbeEvery = 48, 4
 	// mostSizes bounds the listed weights that are told apart: weights that are
@@ -97,11 +96,11 @@
 	}
 	every, next := probeEvery, b.probes/probeEvery%n
 	if b.thin {
-		if every = thinProbeEvery; b.probes <= firstRequests {
-			every = firstProbeEvery
-		}
 		next = b.rng.IntN(n)
 	}
+	if b.thin && b.probes <= firstRequests {
+		every = firstProbeEvery
+	}
 	if s := b.servers[next]; b.probes%every == 0 && s.State == Ready {
 		b.host.Probe(s.ID)
 	}
--- a/policy/capacity_test.go
+++ b/policy/capacity_test.go
@@ -53,7 +53,7 @@
 		ask(b, now, id, safeClass)
 		end(b, now+ms, id, 0, Served)
 	}
-	if want := firstRequests/firstProbeEvery + 160/thinProbeEvery; len(h.probes) != want {
+	if want := firstRequests/firstProbeEvery + 160/probeEvery; len(h.probes) != want {
 		t.Fatalf("%d probes, want %d", len(h.probes), want)
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -423,14 +423,15 @@
 	cfg.MayProbe, cfg.Reports = true, true
 	b, h := start(t, cfg, ready(1, 2))
 	b.Probed(ms, 1, true, Load{InFlight: 50})
-	for id := range RequestID(4) {
+	for id := range RequestID(2 * probeEvery) {
 		ask(b, ms, id, safeClass)
+		end(b, ms, id, 0, Served)
 	}
-	if h.sentTo(1) != 0 || h.sentTo(2) != 4 {
+	if h.sentTo(1) != 0 || h.sentTo(2) != 2*probeEvery {
 		t.Fatalf("sent %d to the full server", h.sentTo(1))
 	}
 	if len(h.probes) != 2 {
-		t.Fatalf("%d probes for 4 requests, want 2", len(h.probes))
+		t.Fatalf("%d probes for %d requests, want 2", len(h.probes), 2*probeEvery)
 	}
 	b.Probed(2*ms, 9, true, Load{InFlight: 1}) // a server not listed
 	b.Probed(2*ms, 9, false, NoLoad)           // nor probed with success
