Count a cold server's budget as work, among the balancers that use it

At fault: coldGap divided by all balancers and counted requests, whatever their work.

coldstart.go holds slow start: the budget is divided among those that use the server (the others no longer may), a request is charged by its expected work, one of more than twelve times the average goes to warm servers only, and the gap to the next send looks half way ahead as the server warms up.

--- /dev/null
+++ b/policy/coldstart.go
@@ -0,0 +1,75 @@
+package policy
+
+import (
+	"cmp"
+	"time"
+)
+
+// Slow start: all balancers together must not push over a server that has just
+// started, and can't agree on who sends to it. Each keeps to an even part of the
+// server's budget, counted among the balancers that may use it, whatever traffic
+// it has itself. The budget is one of work: a heavy request spends more of it.
+
+const (
+	// coldPart is how much of a cold server's budget is used; the rest is left to
+	// chance, as a few heavy requests may meet.
+	coldPart = 0.5
+	// usersPart is the part of the balancers that may use a cold server where traffic is
+	// thin: those that keep to it, which are a half, and some more by chance.
+	usersPart = 0.55
+	// leastCharge is what a request is charged at least, as the hint of its work is
+	// rough; one of more than mostCharge goes to warm servers only: a few of those
+	// at once are a cold server's whole budget, whoever has paid for them.
+	leastCharge, mostCharge = 0.5, 12.0
+)
+
+// mayWarm says whether a server is warm, or else has a part of its budget left for
+// a request of this balancer.
+func (b *Balancer) mayWarm(now time.Duration, r *request, s *server) bool {
+	return now >= s.warmAt || (now >= s.coldAt && !b.spared(s) && b.workShare(r) <= mostCharge)
+}
+
+// charge takes a request out of this balancer's part of a cold server's budget.
+func (b *Balancer) charge(now time.Duration, r *request, s *server) {
+	if now < s.warmAt {
+		s.coldAt = now + time.Duration(max(b.workShare(r), leastCharge)*float64(b.coldGap(now, s)))
+	}
+}
+
+// workShare is a request's expected work against the average; 1 where it is unknown.
+func (b *Balancer) workShare(r *request) float64 {
+	if r.work <= 0 || b.work <= 0 {
+		return 1
+	}
+	return float64(r.work) / b.work
+}
+
+// expect learns what work requests bring on average.
+func (b *Balancer) expect(work time.Duration) {
+	switch {
+	case work <= 0:
+	case b.work == 0:
+		b.work = float64(work)
+	default:
+		b.work += (float64(work) - b.work) / 64
+	}
+}
+
+// coldGap spaces sends to a cold server by its warmth half way to the next one.
+func (b *Balancer) coldGap(now time.Duration, s *server) time.Duration {
+	users := float64(b.cfg.Balancers)
+	if b.thin {
+		users = max(1, users*usersPart)
+	}
+	// The quotas are close to what all servers can do; without them one answer's time is the guide.
+	rate := cmp.Or(b.quota/users, 1/b.pace.Seconds())
+	rate *= s.Weight / max(b.weight, s.Weight) * coldPart * max(b.cfg.ColdMultiple, 1)
+	gap := float64(time.Second) / max(rate*b.warmth(now, s), 0.01)
+	return time.Duration(float64(time.Second) / max(rate*b.warmth(now+time.Duration(gap/2), s), 0.01))
+}
+
+// warmth is the share of its capacity that a server has at least.
+func (b *Balancer) warmth(now time.Duration, s *server) float64 {
+	left := float64(max(0, s.warmAt-now)) / float64(max(1, b.cfg.ColdTime))
+	return max(0.05, 1-left*(1-b.cfg.ColdFrom))
+}
--- /dev/null
+++ b/policy/coldstart_test.go
@@ -0,0 +1,78 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Guards against this: many balancers, each well within its own part, push a server
+// over that has just started, or none of them dares to use it.
+func TestFleetKeepsToAColdServersBudget(t *testing.T) {
+	const (
+		balancers = 80
+		servers   = 20
+		quota     = 1000.0 // requests a second of all, close to what the servers can do
+		window    = 2 * time.Second
+	)
+	cfg := testConfig()
+	cfg.Balancers, cfg.MayProbe, cfg.Slots = balancers, true, 200
+	cfg.Tenants = []Tenant{{Share: 1, Quota: quota}}
+	list := ready()
+	for id := range ServerID(servers) {
+		list = append(list, Server{ID: id, State: Ready, Weight: 1})
+	}
+	restart := 10 * time.Second
+	work := make([]float64, 40) // to the server, in half seconds from its restart on
+	for seed := range uint64(balancers) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		h := newFakeHost()
+		b, err := New(cfg, seed, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(0)
+		b.List(0, ListFull, list)
+		id := RequestID(0)
+		// Half as much again as the quota, as in a jam: all of it would go to the one
+		// server if the turns were not.
+		for now := time.Duration(0); now < restart+9*time.Second; now += time.Duration(rng.ExpFloat64() * balancers / quota / 1.5 * float64(time.Second)) {
+			if now >= restart && b.server(1).Started == 0 {
+				b.List(now, ListDelta, []Server{{ID: 1, State: Ready, Weight: 1, Started: restart}})
+				for _, s := range b.servers {
+					s.spare = s.spare && s.ID == 1
+					if s.ID != 1 {
+						s.restTill = time.Hour // the others are jammed: the cold one is wanted by all
+					}
+				}
+			}
+			cost := 0.5
+			if rng.IntN(100) < 3 {
+				cost = 20 // the heavy few bring half of the work
+			}
+			id++
+			b.Request(now, Request{ID: id, Class: unsafeClass, Left: 3 * time.Second, Work: time.Duration(cost * float64(50*ms))})
+			if n := len(h.sends); n > 0 && h.sends[n-1].id == id {
+				if to := h.sends[n-1].to; to == 1 && now >= restart {
+					work[(now-restart)/(500*ms)] += cost
+				}
+				end(b, now, id, 0, Served)
+			}
+		}
+	}
+	const average = 0.97*0.5 + 0.03*20
+	full := quota / servers * average // what the server can do a second once it is warm
+	total := 0.0
+	for i := 0; time.Duration(i+4)*500*ms <= cfg.ColdTime; i++ {
+		sum := work[i] + work[i+1] + work[i+2] + work[i+3]
+		total += work[i]
+		from := time.Duration(i) * 500 * ms
+		warm := cfg.ColdFrom + (1-cfg.ColdFrom)*min(1, float64(from)/float64(cfg.ColdTime))
+		if budget := cfg.ColdMultiple * warm * full * window.Seconds(); sum > 0.8*budget {
+			t.Errorf("from %v on: %.0f of work in %v, the budget is %.0f", from, sum, window, budget)
+		}
+	}
+	if total < 0.5*cfg.ColdFrom*full*6.5 {
+		t.Errorf("%.0f of work in 6.5 s, though the cold server could do %.0f", total, cfg.ColdFrom*full*6.5)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,6 @@
 
 	thinRate  = 1.0 // own requests a second for each server; below, traffic is thin
 	crowdedAt = 0.3 // a server whose answers take this share of the aim is crowded
-	coldPart  = 0.5 // of a cold server's budget this much is used, the rest is left to chance
 )
 
 // New makes a Balancer, or returns an error that names the unusable field.
@@ -104,6 +103,7 @@
 	if r.useful = r.aimAt; r.class.LateShare > 0 || (r.class.AimStretch > 0 && q.Work == 0) {
 		r.useful = r.deadline
 	}
+	b.expect(q.Work)
 	b.requests[r.id] = r
 	b.open = append(b.open, r)
 	b.wake(now, busyTick)
@@ -280,7 +280,7 @@
 		return false // rule 1, and the limit on attempts
 	case s.State != Ready:
 		return false // rule 3: at once, long before the grace is over
-	case now < s.warmAt && now < s.coldAt:
+	case !b.mayWarm(now, r, s):
 		return false // rule 4
 	case r.out > 0 || !r.mayRepeat(now, s):
 		return false // rule 2: one attempt at a time, and only where it may be repeated
@@ -293,9 +293,7 @@
 	if !b.mayGo(now, r, s) {
 		return false
 	}
-	if now < s.warmAt {
-		s.coldAt = now + b.coldGap(now, s)
-	}
+	b.charge(now, r, s)
 	r.attempts = append(r.attempts, attempt{to: s, sent: now})
 	r.out++
 	s.out++
@@ -307,21 +305,6 @@
 	return true
 }
 
-// coldGap spaces sends to a cold server so that all balancers together stay
-// well within its budget: each keeps an even part, whatever traffic it has.
-func (b *Balancer) coldGap(now time.Duration, s *server) time.Duration {
-	// The quotas are close to what all servers can do; without them one answer's time is the guide.
-	rate := cmp.Or(b.quota/float64(b.cfg.Balancers), 1/b.pace.Seconds())
-	rate *= s.Weight / max(b.weight, s.Weight) * coldPart * max(b.cfg.ColdMultiple, 1) * b.warmth(now, s)
-	return time.Duration(float64(time.Second) / max(rate, 0.01))
-}
-
-// warmth is the share of its capacity that a server has at least.
-func (b *Balancer) warmth(now time.Duration, s *server) float64 {
-	left := float64(max(0, s.warmAt-now)) / float64(max(1, b.cfg.ColdTime))
-	return max(0.05, 1-left*(1-b.cfg.ColdFrom))
-}
-
 // List takes news of the server list.
 func (b *Balancer) List(now time.Duration, kind ListKind, entries []Server) {
 	if kind == ListFailed {
--- a/policy/state.go
+++ b/policy/state.go
@@ -91,6 +91,7 @@
 	fullAt     time.Duration
 	well       float64       // of those not judged unwell
 	pace       time.Duration // usual time of an answer, over all classes
+	work       float64       // expected of a request, on average
 	aim        float64       // mean aim, in seconds
 	wakeAt     time.Duration
 	askAt      time.Duration // when to ask for the list next; 0: no need
