--- a/policy/silence_test.go
+++ b/policy/silence_test.go
@@ -109,6 +109,27 @@
 	}
 }
 
+// Guards against this: a balancer that was cut off itself holds all servers to be
+// silent, and sends nothing for seconds after it is back.
+func TestAllSilentStillServes(t *testing.T) {
+	b, h := start(t, probing(), ready(1, 2))
+	for id := range ServerID(2) {
+		b.Probed(0, id+1, false, NoLoad)
+	}
+	ask(b, ms, 1, unsafeClass)
+	if len(h.sends) != 1 {
+		t.Fatal("nothing is sent while all servers are held to be silent")
+	}
+	end(b, 2*ms, 1, 0, Served)
+	for id := RequestID(2); id < 6; id++ { // one has answered: the other has to speak first
+		ask(b, 3*ms, id, unsafeClass)
+		end(b, 4*ms, id, 0, Served)
+		if to := h.sends[len(h.sends)-1].to; to != h.sends[0].to {
+			t.Fatalf("a request to server %d, which is still silent", to)
+		}
+	}
+}
+
 // Guards against this: zones come and go with the servers, and their states pile up.
 func TestZonesAreForgotten(t *testing.T) {
 	b, _ := start(t, probing(), nil)
