--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -195,7 +195,6 @@
 		ColdFrom:       s.number("rules.cold_from", 0),
 		ColdTime:       Millis(s.number("rules.cold_ms", 0)),
 		ColdMultiple:   s.number("rules.fall_multiple", 0),
-		ProbePrice:     s.number("charges.probe", 0),
 		CrossZonePrice: s.number("charges.cross_zone", 0),
 	}
 	for i := range s.count("classes.count") {
--- a/policy/api.go
+++ b/policy/api.go
@@ -79,7 +79,6 @@
 	ColdTime     time.Duration // and has all of it after this
 	ColdMultiple float64       // sent more than this multiple of what it can do at that moment, it falls over
 
-	ProbePrice     float64 // price of a probe for each request, against a worth of 1
 	CrossZonePrice float64 // price of an attempt that leaves the zone, against a worth of 1
 }
 
--- a/policy/config.go
+++ b/policy/config.go
@@ -24,7 +24,7 @@
 		name  string
 		value float64
 	}{
-		{"ColdMultiple", cfg.ColdMultiple}, {"CrossZonePrice", cfg.CrossZonePrice}, {"ProbePrice", cfg.ProbePrice},
+		{"ColdMultiple", cfg.ColdMultiple}, {"CrossZonePrice", cfg.CrossZonePrice},
 		{"MaxRetryAfter", cfg.MaxRetryAfter.Seconds()}, {"Tick", cfg.Tick.Seconds()},
 		{"AskWithin", cfg.AskWithin.Seconds()}, {"ColdTime", cfg.ColdTime.Seconds()},
 	} {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -660,7 +660,6 @@
 		"ColdFrom":      func(c *Config) { c.ColdFrom = 1.5 },
 		"ColdMultiple":  func(c *Config) { c.ColdMultiple = math.Inf(1) },
 		"ColdTime":      func(c *Config) { c.ColdTime = -1 },
-		"ProbePrice":    func(c *Config) { c.ProbePrice = math.NaN() },
 		"CrossZone":     func(c *Config) { c.CrossZonePrice = -1 },
 		"AskWithin":     func(c *Config) { c.AskWithin = -1 },
 		"Tick":          func(c *Config) { c.Tick = -1 },
--- a/policy/state.go
+++ b/policy/state.go
@@ -57,7 +57,6 @@
 	begun    bool // its answer streams: it is the client's now
 	over     bool // ended; kept until its attempts have ended too
 
-	shed bool          // refused by the share that passes
 	work time.Duration // expected; 0 where unknown
 }
 
