Admit client connections in one place, and bound handshakes and need upstream

Need: limits stood as constants in several files, the victim search walked all connections, a greedy address could hold every place, and a planned restart ended after a fixed 3 s whatever it still held (hold-slot may take 6 s).

Change: internal/admission decides who may be open (max-min fair by address, constant time, no clock); listener.go waits for a first byte outside net/http, lets a few wait for a place and refuses the others with a whole 503 and Retry-After. The pool bounds connections and handshakes to each server and in all, serves waiters in turn, distrusts idle connections after silence and keeps them by need. A restart ends when every connection has ended (drain.go). An optional object 'connections' in the configuration sets the limits; SIGHUP puts new ones in force or keeps the old ones with a plain error.

Also found: an answer of our own (health checks) had no write deadline, so a client that read none held its place for ever; and the deadline of an earlier answer stayed on a kept connection.

--- /dev/null
+++ b/internal/admission/ranks.go
@@ -0,0 +1,71 @@
+package admission
+
+import (
+	"math/bits"
+
+	"mothridge/internal/queue"
+)
+
+// ranks keeps clients by how many connections they hold and finds one with the
+// most in constant time: a list for each count, and a bit for each list that is
+// not empty. A second level of bits tells which words of the first are not zero,
+// and a third those of the second: 262,144 counts, more than a process has
+// descriptors.
+type ranks[T any] struct {
+	lists  []*queue.List[*client[T]]
+	levels [3][]uint64
+}
+
+const (
+	wordBits = 6
+	maxRank  = 1<<(3*wordBits) - 1
+)
+
+// put ranks a client by a count, wherever it stood before.
+func (r *ranks[T]) put(c *client[T], count int) {
+	r.take(c)
+	count = min(count, maxRank)
+	for len(r.lists) <= count { // up to the most that one client ever held
+		r.lists = append(r.lists, new(queue.List[*client[T]]))
+	}
+	c.ranked = count
+	r.lists[count].Push(&c.rank)
+	r.mark(count)
+}
+
+// take lets a client stand in no rank.
+func (r *ranks[T]) take(c *client[T]) {
+	if c.rank.In() {
+		c.rank.Remove()
+		r.mark(c.ranked)
+	}
+}
+
+// mark sets or clears the bits for one list, level by level.
+func (r *ranks[T]) mark(count int) {
+	set := r.lists[count].Len() > 0
+	for i := range r.levels {
+		word, bit := count>>wordBits, uint64(1)<<(count&(1<<wordBits-1))
+		for len(r.levels[i]) <= word {
+			r.levels[i] = append(r.levels[i], 0)
+		}
+		if set {
+			r.levels[i][word] |= bit
+		} else {
+			r.levels[i][word] &^= bit
+		}
+		set, count = r.levels[i][word] != 0, word
+	}
+}
+
+// most returns a client of the highest rank, or nil.
+func (r *ranks[T]) most() *client[T] {
+	word := 0
+	for i := len(r.levels) - 1; i >= 0; i-- {
+		if word >= len(r.levels[i]) || r.levels[i][word] == 0 {
+			return nil
+		}
+		word = word<<wordBits | (bits.Len64(r.levels[i][word]) - 1)
+	}
+	return r.lists[word].Front().Value
+}
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -1,11 +1,13 @@
 package sidecar
 
 import (
+	"errors"
 	"hash/fnv"
 	"io"
 	"log/slog"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -27,6 +29,10 @@
 	idleClient   = 2 * time.Second         // between requests; clients need those back that they leave idle
 	writeAfter   = time.Second             // the time at which the client gives up
 	lingerIn     = 250 * time.Millisecond  // for the rest of a body that is not taken
+	// replyIn is for an answer of our own, such as one to a health check, to be
+	// read: a client that sends on and reads none would hold its connection for
+	// ever. It is counted from the header and leaves room for the body.
+	replyIn = requestIn + writeAfter
 )
 
 // clients is the side towards the application.
@@ -34,11 +40,11 @@
 	loop     *loop
 	classes  map[string]int
 	tenants  map[string]int
-	draining func() bool
+	listener *limitedListener
 }
 
-func newClients(c *Config, l *loop, draining func() bool) *clients {
-	s := &clients{loop: l, classes: make(map[string]int), tenants: make(map[string]int), draining: draining}
+func newClients(c *Config, l *loop, listener *limitedListener) *clients {
+	s := &clients{loop: l, classes: make(map[string]int), tenants: make(map[string]int), listener: listener}
 	for i, name := range c.Classes {
 		s.classes[name] = i
 	}
@@ -49,34 +55,35 @@
 }
 
 func (s *clients) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	c := hr.Context().Value(connKey{}).(*clientConn)
+	s.listener.headRead(c)
 	if status := framing(hr); status != 0 {
 		reject(w, hr, status)
 		return
 	}
 	if hr.URL.Path == "/health/ready" {
 		status := http.StatusOK
-		if !s.loop.ready.Load() || s.draining() {
+		if !s.loop.ready.Load() || s.listener.isDraining() {
 			status = http.StatusServiceUnavailable
 		}
 		w.WriteHeader(status)
 		return
 	}
-	c := hr.Context().Value(connKey{}).(*clientConn)
 	c.requests++
 	r, status := s.read(w, hr, c)
 	if r == nil {
 		reject(w, hr, status)
 		return
 	}
-	if !c.take() {
+	if !s.listener.take(c) {
 		panic(http.ErrAbortHandler) // it was closed as idle: the client sends the request once more
 	}
-	s.loop.events <- arrived{r}
+	s.loop.post(arrived{r}) // which fails only where the program ends for an error
 	var a answer
 	select {
 	case a = <-r.answer:
 	case <-hr.Context().Done():
-		s.loop.events <- left{r}
+		s.loop.post(left{r})
 		panic(http.ErrAbortHandler) // nobody is there to answer: the connection ends
 	}
 	// A client that does not read by then has given up; its answer is not held for it.
@@ -167,7 +174,10 @@
 		return nil, http.StatusConflict
 	}
 	body, err := readRequestBody(w, hr, c.bodyBy(arrival))
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout
+	case err != nil:
 		return nil, bad
 	}
 	if _, ok := h["User-Agent"]; !ok {
@@ -269,7 +279,7 @@
 	if a.pause > 0 {
 		h.Set("Retry-After", seconds(a.pause))
 	}
-	if s.draining() {
+	if s.listener.isDraining() {
 		h.Set("Connection", "close")
 	}
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -278,13 +288,15 @@
 }
 
 // server makes the HTTP server of the client side. It has no ReadTimeout: that
-// would also end the watch for clients that leave, as if they had left.
-func (s *clients) server(l *limitedListener) *http.Server {
+// would also end the watch for clients that leave, as if they had left. The
+// WriteTimeout begins anew with each header; a request that is taken gets its own.
+func (s *clients) server() *http.Server {
 	return &http.Server{
 		Handler:           s,
-		ConnState:         l.track,
+		ConnState:         s.listener.track,
 		ConnContext:       withConn,
 		ReadHeaderTimeout: readHeaderIn,
+		WriteTimeout:      replyIn,
 		IdleTimeout:       idleClient,
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -31,6 +31,7 @@
 	LoadFields  settings.Columns // the names in a load report
 	DialTimeout time.Duration    // a connection not made by then never comes
 	ConnIdle    time.Duration    // upstreams close a connection that was idle this long
+	Connections connectionLimits // how many connections, on both sides
 }
 
 // Limits are the platform's limits on this process.
@@ -54,7 +55,7 @@
 	if path == "" {
 		return nil, fmt.Errorf("ROUTER_CONFIG is not set")
 	}
-	c, err := readConfig(path)
+	c, err := readConfig(path, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -72,12 +73,14 @@
 	return c, c.checkDiscovery()
 }
 
-func readConfig(path string) (*Config, error) {
+// readConfig reads the file. Where the limits of this process are fixed already,
+// those count and not the file's.
+func readConfig(path string, fixed *Limits) (*Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
 	}
-	c, err := parseConfig(text)
+	c, err := parseConfig(text, fixed)
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
@@ -85,17 +88,18 @@
 }
 
 // reload reads the file again and takes over what may change under way: where
-// discovery is. The environment is that of the start, so here the file alone
+// discovery is and the limits on connections. The platform's limits are those of
+// the start. The environment is that of the start too, so here the file alone
 // counts. If the file is of no use, c stays as it is.
 func (c *Config) reload() error {
-	fresh, err := readConfig(c.path)
+	fresh, err := readConfig(c.path, &c.Limits)
 	if err != nil {
 		return err
 	}
 	if err := fresh.checkDiscovery(); err != nil {
 		return err
 	}
-	c.Discovery = fresh.Discovery
+	c.Discovery, c.Connections = fresh.Discovery, fresh.Connections
 	return nil
 }
 
@@ -106,7 +110,7 @@
 	return nil
 }
 
-func parseConfig(text []byte) (*Config, error) {
+func parseConfig(text []byte, fixed *Limits) (*Config, error) {
 	var f struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
@@ -115,6 +119,8 @@
 		Limits    Limits          `json:"limits"`
 		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
+
+		Connections json.RawMessage `json:"connections"`
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, err
@@ -146,12 +152,22 @@
 	if slices.Contains(c.Classes, "") || slices.Contains(c.Tenants, "") {
 		return nil, fmt.Errorf("settings: a class or tenant has no name")
 	}
+	if fixed != nil {
+		c.Limits = *fixed
+	}
 	if c.Limits.Sockets == 0 {
 		c.Limits.Sockets = defaultSockets
 	}
 	if c.Limits.Sockets < leastSockets {
 		return nil, fmt.Errorf("limits: %d sockets, at least %d are needed", c.Limits.Sockets, leastSockets)
 	}
+	said, err := parseConnections(f.Connections)
+	if err != nil {
+		return nil, err
+	}
+	if c.Connections, err = limitsFor(c.Limits, said); err != nil {
+		return nil, err
+	}
 	return c, nil
 }
 
--- /dev/null
+++ b/internal/sidecar/limits.go
@@ -0,0 +1,181 @@
+package sidecar
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"mothridge/internal/admission"
+)
+
+const (
+	socketsSpare     = 32 // standard streams, the listener, the poller and what the runtime opens
+	socketsDiscovery = 2
+
+	// clientPart is how many tenths of the sockets are for clients: those that
+	// say nothing take some, until they are closed.
+	clientPart = 6
+	// idlePart is how many tenths of the clients' may be idle. Clients count those
+	// too as theirs, and where each asks once and stays they could soon open no more.
+	idlePart = 3
+	// waitPart is which part of the clients' sockets may wait for a place, and
+	// which may be held by connections being told that there is none.
+	waitPart = 16
+	maxWait  = 8 // a longer queue serves nobody sooner, and each in it is a place less
+
+	// serverPart is which part of the upstreams' sockets one of them may hold: one
+	// that is slow must leave some to the others.
+	serverPart = 2
+	// handshakePart is which part may be in a handshake at once, and leastHandshakes
+	// how many in any case. Requests find idle connections but for the first moments
+	// and after a failure; then all sidecars open new ones at the same servers.
+	handshakePart   = 8
+	leastHandshakes = 8
+	// serverHandshakes may be under way to one upstream. A handshake costs it a
+	// twentieth of a request, and one sidecar's traffic needs few new ones at a time.
+	serverHandshakes = 4
+)
+
+// clientLimits bound the connections to clients. All of them together are
+// sockets: places, those that wait, one in hand and those being told.
+type clientLimits struct {
+	admission.Limits
+	Waiting int // may wait for a place
+	Telling int // may be in the middle of being refused
+}
+
+// poolLimits bound the connections to upstreams.
+type poolLimits struct {
+	Total               int // of all upstreams
+	PerServer           int
+	Handshakes          int // under way at once, to all of them
+	HandshakesPerServer int
+}
+
+// connectionLimits are the limits of both sides.
+type connectionLimits struct {
+	Clients clientLimits
+	Servers poolLimits
+}
+
+// connections divides the sockets between the two sides.
+func (l Limits) connections() (clients, upstreams int) {
+	most := l.Sockets - socketsSpare - socketsDiscovery
+	clients = most * clientPart / 10
+	return clients, most - clients
+}
+
+// limitsFor are the limits that follow from the sockets given, and from what the
+// configuration says instead.
+func limitsFor(sockets Limits, said connectionsText) (connectionLimits, error) {
+	forClients, forServers := sockets.connections()
+	wait := min(max(forClients/waitPart, 1), maxWait)
+	var l connectionLimits
+	c, s := &l.Clients, &l.Servers
+	c.Telling = wait
+	c.Waiting = or(said.Clients.Waiting, wait)
+	c.Total = or(said.Clients.Total, max(1, forClients-c.Waiting-c.Telling-1))
+	c.PerAddress = or(said.Clients.PerAddress, c.Total)
+	c.HalfOpen = or(said.Clients.HalfOpen, c.Total) // less would but slow down the clearing of a flood
+	c.Idle = or(said.Clients.Idle, min(c.Total, forClients*idlePart/10))
+	s.Total = or(said.Servers.Total, forServers)
+	s.PerServer = or(said.Servers.PerServer, max(1, s.Total/serverPart))
+	s.Handshakes = or(said.Servers.Handshakes, min(s.Total, max(leastHandshakes, s.Total/handshakePart)))
+	s.HandshakesPerServer = or(said.Servers.HandshakesPerServer, min(s.PerServer, s.Handshakes, serverHandshakes))
+	return l, l.check(sockets.Sockets)
+}
+
+func or(said *int, derived int) int {
+	if said != nil {
+		return *said
+	}
+	return derived
+}
+
+// check returns an error that names the first limit that cannot be.
+func (l connectionLimits) check(sockets int) error {
+	type limit struct {
+		name        string
+		value       int
+		least, most int
+		mostName    string
+	}
+	c, s := l.Clients, l.Servers
+	for _, f := range []limit{
+		{"clients.total", c.Total, 1, sockets, "limits.sockets"},
+		{"clients.per_address", c.PerAddress, 1, c.Total, "connections.clients.total"},
+		{"clients.half_open", c.HalfOpen, 1, c.Total, "connections.clients.total"},
+		{"clients.idle", c.Idle, 0, c.Total, "connections.clients.total"},
+		{"clients.waiting", c.Waiting, 0, sockets, "limits.sockets"},
+		{"servers.total", s.Total, 1, sockets, "limits.sockets"},
+		{"servers.per_server", s.PerServer, 1, s.Total, "connections.servers.total"},
+		{"servers.handshakes", s.Handshakes, 1, s.Total, "connections.servers.total"},
+		{"servers.handshakes_per_server", s.HandshakesPerServer, 1, min(s.Handshakes, s.PerServer), "connections.servers.handshakes or per_server"},
+	} {
+		if f.value < f.least {
+			return fmt.Errorf("connections.%s is %d, at least %d is needed", f.name, f.value, f.least)
+		}
+		if f.value > f.most {
+			return fmt.Errorf("connections.%s is %d, more than the %d of %s", f.name, f.value, f.most, f.mostName)
+		}
+	}
+	needed := c.Total + c.Waiting + c.Telling + 1 + s.Total + socketsSpare + socketsDiscovery
+	if needed > sockets {
+		return fmt.Errorf("connections: the limits add up to %d sockets (clients.total %d, clients.waiting %d, servers.total %d, "+
+			"%d for the rest), limits.sockets allows %d", needed, c.Total, c.Waiting, s.Total, needed-c.Total-c.Waiting-s.Total, sockets)
+	}
+	return nil
+}
+
+// connectionsText is the configuration's optional object 'connections'. What it
+// leaves out is derived.
+type connectionsText struct {
+	Clients struct {
+		Total      *int `json:"total"`
+		PerAddress *int `json:"per_address"`
+		HalfOpen   *int `json:"half_open"`
+		Idle       *int `json:"idle"`
+		Waiting    *int `json:"waiting"`
+	}
+	Servers struct {
+		Total               *int `json:"total"`
+		PerServer           *int `json:"per_server"`
+		Handshakes          *int `json:"handshakes"`
+		HandshakesPerServer *int `json:"handshakes_per_server"`
+	}
+}
+
+// parseConnections reads that object. A key that is not known is an error: a
+// limit that is misspelt would not be in force.
+func parseConnections(text json.RawMessage) (connectionsText, error) {
+	var said connectionsText
+	if len(text) == 0 {
+		return said, nil
+	}
+	var parts map[string]json.RawMessage
+	if err := json.Unmarshal(text, &parts); err != nil {
+		return said, fmt.Errorf("connections: an object is needed: %w", err)
+	}
+	for name, part := range parts {
+		var into any
+		switch name {
+		case "clients":
+			into = &said.Clients
+		case "servers":
+			into = &said.Servers
+		default:
+			return said, fmt.Errorf("connections.%s: unknown, there are clients and servers", name)
+		}
+		d := json.NewDecoder(bytes.NewReader(part))
+		d.DisallowUnknownFields()
+		if err := d.Decode(into); err != nil {
+			var kind *json.UnmarshalTypeError
+			if errors.As(err, &kind) && kind.Field != "" {
+				return said, fmt.Errorf("connections.%s.%s: a whole number is needed, not a %s", name, kind.Field, kind.Value)
+			}
+			return said, fmt.Errorf("connections.%s: %w", name, err)
+		}
+	}
+	return said, nil
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -115,6 +115,12 @@
 	ready  atomic.Bool
 	asks   chan struct{} // the module wants to subscribe to the list
 
+	life  context.Context // ends with run, and attempts with it
+	end   context.CancelFunc
+	tasks sync.WaitGroup // attempts and probes under way
+
+	report func() // logs what else there is to tell with the module's counters; may be nil
+
 	begin time.Time
 	now   time.Duration // the module's clock at the event under way
 	timer *time.Timer
@@ -135,8 +141,11 @@
 	logEvery     = time.Minute
 )
 
+// newLoop makes a loop that lives from now on until run has ended.
 func newLoop(c *Config, up *upstreams) (*loop, error) {
+	life, end := context.WithCancel(context.Background())
 	l := &loop{
+		life: life, end: end,
 		config: c, up: up, begin: time.Now(),
 		events: make(chan any, eventBacklog), asks: make(chan struct{}, 1), timer: time.NewTimer(time.Hour),
 		requests: make(map[policy.RequestID]*request), names: names{held: make(map[string]bool)},
@@ -148,6 +157,7 @@
 	l.nextSite = len(c.Zones)
 	b, err := policy.New(c.Policy, c.Seed, l)
 	if err != nil {
+		end()
 		return nil, err
 	}
 	l.b = b
@@ -167,14 +177,26 @@
 	return time.Duration(l.begin.UnixNano()) + time.Since(l.begin)
 }
 
-// run handles events until ctx ends.
+// post hands an event to the loop, and says whether the loop is there to take it.
+func (l *loop) post(e any) bool {
+	select {
+	case l.events <- e:
+		return true
+	case <-l.life.Done():
+		return false
+	}
+}
+
+// run handles events until ctx ends, and then ends all that is under way.
 func (l *loop) run(ctx context.Context) {
+	defer l.tasks.Wait()
+	defer l.end()
 	logTick := time.NewTicker(logEvery)
 	defer logTick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			slog.Info("counters", "counters", l.b.Counters())
+			l.log()
 			return
 		case e := <-l.events:
 			l.now = l.clock()
@@ -183,7 +205,7 @@
 			l.now = l.clock()
 			l.wake()
 		case <-logTick.C:
-			slog.Info("counters", "counters", l.b.Counters())
+			l.log()
 		}
 		for len(l.local) > 0 {
 			e := l.local[0]
@@ -193,6 +215,14 @@
 	}
 }
 
+// log says what was done so far.
+func (l *loop) log() {
+	slog.Info("counters", "counters", l.b.Counters())
+	if l.report != nil {
+		l.report()
+	}
+}
+
 func (l *loop) wake() {
 	if l.dueAt == 0 {
 		return
@@ -215,7 +245,7 @@
 			l.b.ClientGone(l.now, r.id)
 		}
 	case ended:
-		l.end(e)
+		l.attemptEnded(e)
 	case probed:
 		p := e.probe
 		p.done, p.ok, p.load = true, e.ok, e.load
@@ -263,7 +293,7 @@
 	}
 }
 
-func (l *loop) end(e ended) {
+func (l *loop) attemptEnded(e ended) {
 	a, r := e.attempt, e.attempt.req
 	r.out--
 	r.timedOut = e.ending == policy.TimedOut
@@ -391,17 +421,17 @@
 			until = cut
 		}
 	}
-	a.ctx, a.cancel = context.WithDeadline(context.Background(), until)
+	a.ctx, a.cancel = context.WithDeadline(l.life, until)
 	if h == nil || r.over {
 		a.cancel()
 		l.local = append(l.local, ended{attempt: a, ending: policy.NotSent})
 		return
 	}
 	a.to = h.peer
-	go func() {
+	l.tasks.Go(func() {
 		ending, ans := l.up.try(a)
-		l.events <- ended{a, ending, ans}
-	}()
+		l.post(ended{a, ending, ans})
+	})
 }
 
 // Refuse answers 503: trying again is harmless.
@@ -440,10 +470,10 @@
 	p := &probe{host: h}
 	h.probes = append(h.probes, p)
 	peer := h.peer
-	go func() {
-		ok, load := l.up.probe(context.Background(), peer)
-		l.events <- probed{p, ok, load}
-	}()
+	l.tasks.Go(func() {
+		ok, load := l.up.probe(l.life, peer)
+		l.post(probed{p, ok, load})
+	})
 }
 
 // WatchList subscribes to the list, where that is the module's to ask.
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -3,223 +3,542 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
+	"log/slog"
+	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
+
+	"mothridge/internal/queue"
 )
 
 // peer is one upstream to the pool. It stands for the host and not for its
-// address, which may be another host's tomorrow.
+// address, which may be another host's tomorrow. The pool's lock guards it.
 type peer struct {
 	addr string
 
-	// The pool's lock guards these.
-	idle []*conn // the most recently used last
-	gone bool
+	gone    bool
+	idle    queue.List[*conn]   // the most recently used last
+	waiting queue.List[*waiter] // the longest waiting first
+	blocked queue.Node[*peer]   // among those that a bound on all upstreams holds up
+	open    int                 // connections, and handshakes under way
+	dialing int                 // handshakes under way
+	window  int                 // how many may be: see grow
+	madeAt  time.Time           // the last connection that came up
+	heard   time.Time           // the last answer, or connection that came up
+	peak    int                 // most connections in use at once, in this while and in the last one
+	before  int
+	peakAt  time.Time // when this while began
 }
 
-// conn is a connection to an upstream with its buffers; it carries one request at a time.
+// conn is a connection to an upstream; it carries one request at a time.
 type conn struct {
 	net.Conn
-	peer  *peer
+	peer    *peer
+	idle    time.Time     // since when it has been idle
+	keep    time.Duration // and how long it may be
+	inPeer  queue.Node[*conn]
+	inAll   queue.Node[*conn]
+	buffers *buffers // while it carries a request
+}
+
+// buffers are what a connection needs while it carries a request and not while it is idle.
+type buffers struct {
 	limit io.LimitedReader // bounds what one answer may bring
 	r     *bufio.Reader    // reads through limit
 	out   bytes.Buffer     // a request is gathered here, so that it goes out in one write
-	idle  time.Time        // since when it has been idle
+}
+
+// keptBuffer is how large a request's buffer may be to be used again.
+const keptBuffer = 8 << 10
+
+var spareBuffers = sync.Pool{New: func() any {
+	b := new(buffers)
+	b.r = bufio.NewReader(&b.limit)
+	return b
+}}
+
+// lend gives a connection buffers for one exchange.
+func (c *conn) lend() *buffers {
+	b := spareBuffers.Get().(*buffers)
+	b.limit.R = c.Conn
+	b.r.Reset(&b.limit)
+	b.out.Reset()
+	c.buffers = b
+	return b
+}
+
+// giveBack takes them back, and says whether all that came had been read.
+func (c *conn) giveBack() (clean bool) {
+	b := c.buffers
+	c.buffers = nil
+	clean = b.r.Buffered() == 0
+	b.limit.R = nil
+	if b.out.Cap() <= keptBuffer {
+		spareBuffers.Put(b)
+	}
+	return clean
+}
+
+// waiter is a caller that waits for a connection.
+type waiter struct {
+	since time.Time
+	got   chan got // takes one value; never blocks
+	place queue.Node[*waiter]
+}
+
+type got struct {
+	conn *conn
+	err  error
 }
 
 // pool keeps connections to upstreams for further requests: a new one costs the
-// upstream work and the request time. It also bounds how many are open.
+// upstream work and the request time. It bounds how many are open and how many
+// are being opened, to each upstream and to all, and serves those that wait for
+// one in the order in which they came.
+//
+// Each operation takes constant time in the number of connections; sweep alone
+// looks at all that are idle.
 type pool struct {
 	dialTimeout time.Duration
 	idleFor     time.Duration // an idle connection is not used for longer than this
-
-	slots chan struct{} // holds one for each connection that is open or being opened
+	life        context.Context
+	end         context.CancelFunc
+	dials       sync.WaitGroup
 
 	mu      sync.Mutex
-	kept    map[*peer]bool // those with idle connections
-	waiting int            // callers that wait for a slot
+	rng     *rand.Rand
+	limits  poolLimits
+	open    int // connections, and handshakes under way
+	dialing int
+	idle    queue.List[*conn] // the longest idle first
+	blocked queue.List[*peer] // upstreams whose next handshake a bound on all holds up
+	waiting int
+	count   poolCounters
+}
+
+// poolCounters count what the pool decided, each decision apart.
+type poolCounters struct {
+	Reused      uint64 // requests given an idle connection
+	Opened      uint64 // handshakes that succeeded
+	DialFailed  uint64 // that failed
+	Waited      uint64 // requests that found no idle connection
+	LeftWaiting uint64 // of those, given up before there was one
+	Evicted     uint64 // idle connections closed as another needed the place
+	Expired     uint64 // idle for as long as an upstream keeps them
+	Unneeded    uint64 // idle beyond what was in use at once lately
+	Stale       uint64 // closed by the upstream, or with bytes that nobody asked for
+	Distrusted  uint64 // idle to an upstream that fell silent
+	Retired     uint64 // to an upstream that has gone or was replaced
 }
 
 const (
 	// idleMargin is kept to the time after which upstreams close idle connections: a
 	// request written to one that is being closed ends as a reset and may not be repeated.
 	idleMargin = 2 * time.Second
+	// idleJitter is how much sooner, at most, in parts of the whole: connections that
+	// were opened together, by all sidecars at once, must not be opened again together.
+	idleJitter = 0.1
+	// needFor is how long what was in use at once is held to be needed. Twice that is
+	// well under the time upstreams keep an idle connection.
+	needFor = 10 * time.Second
 	// restFor is how long a connection rests between an answer and the next
 	// request: what comes behind an answer and belongs to none shows by then, and
 	// must not be read as the next one's answer.
 	restFor = 2 * time.Millisecond
-	// keptBuffer is how large a buffer an idle connection may keep.
-	keptBuffer = 8 << 10
+	// firstWindow is how many handshakes an upstream gets at once before one has succeeded.
+	firstWindow = 2
 )
 
-func newPool(dialTimeout, connIdle time.Duration, most int) *pool {
+// Why the pool gave no connection, other than a handshake that failed.
+var (
+	errGone    = errors.New("the upstream has left the list")
+	errBounded = errors.New("no connection within the limits in time")
+	errLate    = errors.New("the caller's own time was up before a connection came up")
+	errSilent  = errors.New("no connection came up in time")
+)
+
+func newPool(dialTimeout, connIdle time.Duration, limits poolLimits, seed uint64) *pool {
+	life, end := context.WithCancel(context.Background())
 	return &pool{
 		dialTimeout: dialTimeout,
 		idleFor:     max(connIdle-idleMargin, connIdle/2),
-		slots:       make(chan struct{}, most),
-		kept:        make(map[*peer]bool),
+		life:        life, end: end,
+		limits: limits,
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+	}
+}
+
+// close ends handshakes under way and closes what is idle. Connections that are
+// out are their users' to drop.
+func (p *pool) close() {
+	p.mu.Lock()
+	p.end() // under the lock: no handshake begins after it
+	p.mu.Unlock()
+	p.dials.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n := p.idle.Front(); n != nil; n = p.idle.Front() {
+		p.closeLocked(n.Value)
+	}
+}
+
+// setLimits puts other limits in force. Idle connections beyond them are closed
+// now, others when they are put back.
+func (p *pool) setLimits(l poolLimits) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits = l
+	for p.open > l.Total && p.evictLocked() {
 	}
+	p.unblockLocked()
 }
 
 // get returns an idle connection to the upstream, the most recently used first,
-// or opens one.
+// or waits for one: for a handshake, or for another request to end. The error
+// errBounded says that the pool's own limits were the reason.
 func (p *pool) get(ctx context.Context, to *peer) (*conn, error) {
 	for {
-		c := p.takeIdle(to)
-		if c == nil {
-			return p.dial(ctx, to)
+		c, err := p.takeOrWait(ctx, to)
+		if err != nil {
+			return nil, err
 		}
 		time.Sleep(restFor - time.Since(c.idle))
-		if c.usable(time.Now(), p.idleFor) {
+		if c.usable(time.Now()) {
 			return c, nil
 		}
+		p.mu.Lock()
+		p.count.Stale++
+		p.mu.Unlock()
 		p.drop(c)
 	}
 }
 
-func (p *pool) takeIdle(to *peer) *conn {
+func (p *pool) takeOrWait(ctx context.Context, to *peer) (*conn, error) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(to.idle) == 0 {
-		return nil
+	if n := to.idle.Back(); n != nil && !to.gone {
+		c := n.Value
+		p.takeLocked(c)
+		p.count.Reused++
+		p.mu.Unlock()
+		return c, nil
 	}
-	return p.takeLocked(to, len(to.idle)-1)
-}
-
-// takeLocked takes an idle connection out.
-func (p *pool) takeLocked(from *peer, i int) *conn {
-	c := from.idle[i]
-	if from.idle = slices.Delete(from.idle, i, i+1); len(from.idle) == 0 {
-		delete(p.kept, from)
+	if err := cmp.Or(to.left(), p.life.Err(), ctx.Err()); err != nil {
+		p.mu.Unlock()
+		return nil, err
 	}
-	return c
-}
+	w := &waiter{since: time.Now(), got: make(chan got, 1)}
+	w.place.Value = w
+	to.waiting.Push(&w.place)
+	p.waiting++
+	p.count.Waited++
+	p.openLocked(to)
+	p.mu.Unlock()
 
-// dial opens a connection within the dial timeout, waiting for a slot included.
-func (p *pool) dial(ctx context.Context, to *peer) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
 	defer cancel()
-	if err := p.acquire(ctx); err != nil {
-		return nil, err
+	select {
+	case g := <-w.got:
+		return g.conn, g.err
+	case <-ctx.Done():
 	}
-	d := net.Dialer{KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", to.addr)
-	if err != nil {
-		<-p.slots
-		return nil, err
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !w.place.In() { // served a moment ago
+		g := <-w.got
+		return g.conn, g.err
+	}
+	w.place.Remove()
+	p.waiting--
+	p.count.LeftWaiting++
+	switch {
+	case time.Since(w.since) < p.dialTimeout:
+		return nil, errLate
+	case to.dialing > 0 && to.madeAt.Before(w.since):
+		return nil, errSilent
 	}
-	c := &conn{Conn: nc, peer: to, limit: io.LimitedReader{R: nc}}
-	c.r = bufio.NewReader(&c.limit)
-	return c, nil
+	return nil, errBounded
 }
 
-// acquire takes a slot; where none is free it closes the connection that has
-// been idle longest, or waits.
-func (p *pool) acquire(ctx context.Context) error {
-	select {
-	case p.slots <- struct{}{}:
-		return nil
-	default:
+// takeLocked takes an idle connection out for use.
+func (p *pool) takeLocked(c *conn) {
+	c.inPeer.Remove()
+	c.inAll.Remove()
+	c.peer.used(time.Now())
+}
+
+// left returns an error if the upstream has gone.
+func (to *peer) left() error {
+	if to.gone {
+		return errGone
 	}
-	p.mu.Lock()
-	p.waiting++
-	c := p.oldestLocked()
-	p.mu.Unlock()
-	if c != nil {
-		p.drop(c)
+	return nil
+}
+
+// used notes how many connections to the upstream are in use at once.
+func (to *peer) used(now time.Time) {
+	if past := now.Sub(to.peakAt); past >= 2*needFor {
+		to.peak, to.before, to.peakAt = 0, 0, now
+	} else if past >= needFor {
+		to.peak, to.before, to.peakAt = 0, to.peak, now
 	}
-	defer func() {
-		p.mu.Lock()
-		p.waiting--
-		p.mu.Unlock()
-	}()
-	select {
-	case p.slots <- struct{}{}:
-		return nil
-	case <-ctx.Done():
-		return errors.Join(errors.New("no free connection slot"), ctx.Err())
+	to.peak = max(to.peak, to.open-to.dialing-to.idle.Len())
+}
+
+// openLocked begins handshakes with an upstream while somebody waits for more
+// than are under way and the bounds allow.
+func (p *pool) openLocked(to *peer) {
+	for !to.gone && p.life.Err() == nil && to.waiting.Len() > to.dialing &&
+		to.open < p.limits.PerServer && to.dialing < min(max(to.window, firstWindow), p.limits.HandshakesPerServer) {
+		if p.dialing >= p.limits.Handshakes || (p.open >= p.limits.Total && !p.evictLocked()) {
+			if to.blocked.Value = to; !to.blocked.In() {
+				p.blocked.Push(&to.blocked)
+			}
+			return
+		}
+		p.open++
+		p.dialing++
+		to.open++
+		to.dialing++
+		p.dials.Go(func() { p.dial(to) })
 	}
+	to.blocked.Remove()
 }
 
-// oldestLocked takes out the connection that has been idle longest, or returns nil.
-func (p *pool) oldestLocked() *conn {
-	var oldest *conn
-	for to := range p.kept {
-		if oldest == nil || to.idle[0].idle.Before(oldest.idle) {
-			oldest = to.idle[0]
+// unblockLocked goes on with the upstreams that a bound on all held up, in turn.
+func (p *pool) unblockLocked() {
+	for n := p.blocked.Front(); n != nil; n = p.blocked.Front() {
+		if p.openLocked(n.Value); n.In() {
+			return // it is held up still, and so are those behind it
 		}
 	}
-	if oldest != nil {
-		p.takeLocked(oldest.peer, 0)
+}
+
+// dial opens a connection for whoever waits longest by then.
+func (p *pool) dial(to *peer) {
+	ctx, cancel := context.WithTimeout(p.life, p.dialTimeout)
+	defer cancel()
+	begun := time.Now()
+	d := net.Dialer{KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", to.addr)
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing--
+	to.dialing--
+	if err != nil {
+		p.count.DialFailed++
+		to.window = 1
+		p.open--
+		to.open--
+		if ctx.Err() != nil {
+			p.distrustLocked(to, begun)
+		}
+		p.giveLocked(to, got{err: err})
+		p.openLocked(to)
+		p.unblockLocked()
+		return
 	}
-	return oldest
+	p.count.Opened++
+	to.grow()
+	to.madeAt, to.heard = now, now
+	c := &conn{Conn: nc, peer: to, idle: now.Add(-restFor)} // nothing can be left over from an answer
+	c.inPeer.Value, c.inAll.Value = c, c
+	to.used(now)
+	p.putLocked(c)
+}
+
+// grow lets an upstream have one more handshake at once for each that succeeded.
+// One that was out of reach begins again with one: it comes back for all
+// sidecars at the same moment, and cold.
+func (to *peer) grow() { to.window = min(max(to.window, firstWindow-1)+1, maxWindow) }
+
+// maxWindow is above any limit on handshakes to one upstream that makes sense.
+const maxWindow = 64
+
+// giveLocked serves the one that waits longest, if any does.
+func (p *pool) giveLocked(to *peer, g got) bool {
+	n := to.waiting.Front()
+	if n == nil {
+		return false
+	}
+	n.Remove()
+	p.waiting--
+	n.Value.got <- g
+	return true
 }
 
 // put gives a connection back whose last answer was read to its end. One to a
 // host that has gone meanwhile is closed.
 func (p *pool) put(c *conn) {
 	c.idle = time.Now()
-	if c.out.Cap() > keptBuffer {
-		c.out = bytes.Buffer{}
-	}
 	p.mu.Lock()
-	if p.waiting > 0 || c.peer.gone {
-		p.mu.Unlock()
-		p.drop(c) // its slot is wanted, or itself no more
-		return
-	}
-	c.peer.idle = append(c.peer.idle, c)
-	p.kept[c.peer] = true
+	defer p.mu.Unlock()
+	p.putLocked(c)
+}
+
+// answered takes that a whole answer came from the upstream, whether its
+// connection can be used again or not.
+func (p *pool) answered(to *peer) {
+	p.mu.Lock()
+	to.heard = time.Now()
 	p.mu.Unlock()
 }
 
+// putLocked gives a connection to who waits longest for it, or keeps it idle.
+func (p *pool) putLocked(c *conn) {
+	to, fresh := c.peer, c.keep == 0
+	c.keep = time.Duration(float64(p.idleFor) * (1 - idleJitter*p.rng.Float64()))
+	switch {
+	case to.gone:
+		p.count.Retired++
+		p.closeLocked(c)
+	case p.life.Err() != nil || p.open > p.limits.Total || to.open > p.limits.PerServer: // the limits are new
+		p.count.Evicted++
+		p.closeLocked(c)
+	case p.giveLocked(to, got{conn: c}):
+		if !fresh {
+			p.count.Reused++
+		}
+	default: // a fresh one came up for somebody who has left
+		to.idle.Push(&c.inPeer)
+		p.idle.Push(&c.inAll)
+	}
+	p.openLocked(to)
+	p.unblockLocked()
+}
+
 // drop closes a connection that came from get.
 func (p *pool) drop(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeLocked(c)
+	p.openLocked(c.peer)
+	p.unblockLocked()
+}
+
+// closeLocked closes a connection, idle or not.
+func (p *pool) closeLocked(c *conn) {
+	c.inPeer.Remove()
+	c.inAll.Remove()
 	c.Close()
-	<-p.slots
+	p.open--
+	c.peer.open--
+}
+
+// evictLocked closes the connection that has been idle longest.
+func (p *pool) evictLocked() bool {
+	n := p.idle.Front()
+	if n == nil {
+		return false
+	}
+	p.count.Evicted++
+	p.closeLocked(n.Value)
+	return true
+}
+
+// fellSilent takes that nothing came on a connection to an upstream on which a
+// request was written at that time.
+func (p *pool) fellSilent(to *peer, written time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.distrustLocked(to, written)
+	p.openLocked(to)
+	p.unblockLocked()
+}
+
+// distrustLocked closes the idle connections to an upstream from which nothing
+// at all has come since then. A machine that vanished or was cut off says
+// nothing: a connection to it looks as good as ever, and swallows a request that
+// may never be repeated. Where another answer came meanwhile only that one
+// request was slow, and the connections are worth their handshakes.
+func (p *pool) distrustLocked(to *peer, since time.Time) {
+	if to.heard.After(since) {
+		return
+	}
+	for n := to.idle.Front(); n != nil; n = to.idle.Front() {
+		p.count.Distrusted++
+		p.closeLocked(n.Value)
+	}
 }
 
 // retire closes the idle connections to a host that has gone, and from now on
 // every other that is given back. Whoever is at its address next has its own.
+// Those that wait for one are told at once.
 func (p *pool) retire(to *peer) {
 	p.mu.Lock()
-	idle := to.idle
-	to.idle, to.gone = nil, true
-	delete(p.kept, to)
-	p.mu.Unlock()
-	for _, c := range idle {
-		p.drop(c)
+	defer p.mu.Unlock()
+	to.gone = true
+	to.blocked.Remove()
+	for n := to.idle.Front(); n != nil; n = to.idle.Front() {
+		p.count.Retired++
+		p.closeLocked(n.Value)
 	}
+	for p.giveLocked(to, got{err: errGone}) {
+	}
+	p.unblockLocked()
 }
 
-// sweep closes the idle connections that are too old, that the peer has closed,
-// or on which something came that belongs to no request.
+// sweep closes the idle connections that are too old or not needed, that the peer
+// has closed, or on which something came that belongs to no request.
 func (p *pool) sweep(now time.Time) {
-	var dead []*conn
 	p.mu.Lock()
-	for to := range p.kept {
-		for i := len(to.idle) - 1; i >= 0; i-- {
-			if !to.idle[i].usable(now, p.idleFor) {
-				dead = append(dead, p.takeLocked(to, i))
-			}
+	defer p.mu.Unlock()
+	var next *queue.Node[*conn]
+	for n := p.idle.Front(); n != nil; n = next {
+		next = n.Next()
+		switch c := n.Value; {
+		case now.Sub(c.idle) >= c.keep:
+			p.count.Expired++
+			p.closeLocked(c)
+		case !quiet(c.Conn):
+			p.count.Stale++
+			p.closeLocked(c)
+		case now.Sub(c.idle) >= 2*needFor && c.peer.open-c.peer.dialing > c.peer.needed(now):
+			p.count.Unneeded++
+			p.closeLocked(c)
 		}
 	}
-	p.mu.Unlock()
-	for _, c := range dead {
-		p.drop(c)
+	p.unblockLocked()
+}
+
+// needed is how many connections to the upstream were in use at once lately; one
+// at least, as a handshake costs more than keeping it.
+func (to *peer) needed(now time.Time) int {
+	switch past := now.Sub(to.peakAt); {
+	case past >= 2*needFor:
+		return 1
+	case past >= needFor:
+		return max(1, to.peak)
 	}
+	return max(1, to.peak, to.before)
 }
 
 // usable says whether an idle connection may carry a request: young enough, and
 // neither closed by the peer nor with bytes that nobody asked for.
-func (c *conn) usable(now time.Time, idleFor time.Duration) bool {
-	return now.Sub(c.idle) < idleFor && c.r.Buffered() == 0 && quiet(c.Conn)
+func (c *conn) usable(now time.Time) bool {
+	return now.Sub(c.idle) < c.keep && quiet(c.Conn)
+}
+
+// poolState is what is open at a moment.
+type poolState struct{ Open, Idle, Handshakes, Waiting int }
+
+// counters returns what was counted so far, and what is open now.
+func (p *pool) counters() (poolCounters, poolState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.count, poolState{p.open, p.idle.Len(), p.dialing, p.waiting}
+}
+
+// report logs them.
+func (p *pool) report() {
+	count, now := p.counters()
+	slog.Info("upstream connections", "now", now, "counters", count)
 }
 
 // quiet looks at a socket without blocking: nothing to read and not closed. It
