--- /dev/null
+++ b/internal/registry/client/watch.go
@@ -0,0 +1,329 @@
+// Package client follows the list of booking servers and writes to it. It speaks
+// the protocol's list and watch, with our own registry and with anybody else's,
+// and the registry's write interface. It does not link what the registry's
+// replicas are made of: a sidecar carries none of that.
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"mothridge/internal/registry"
+)
+
+// Listing is discovery's news of the upstreams: the whole list or what changed.
+type Listing struct {
+	Seq   uint64  `json:"seq"`
+	Whole bool    `json:"whole"`
+	Hosts []Entry `json:"hosts"`
+}
+
+// Entry is one upstream as a reader takes it: a field of the wrong kind makes this
+// entry unusable and no other.
+type Entry struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Block  *int    `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMS float64 `json:"born_ms"`
+}
+
+// UnmarshalJSON keeps a wrong entry from spoiling the list it stands in: it is
+// left without a name, and such entries are passed over.
+func (e *Entry) UnmarshalJSON(text []byte) error {
+	type plain Entry
+	var p plain
+	if err := json.Unmarshal(text, &p); err != nil {
+		*e = Entry{}
+		return nil
+	}
+	*e = Entry(p)
+	return nil
+}
+
+const (
+	// silence ends a watch: an empty line comes every 2 s while nothing changes.
+	silence = 3 * time.Second
+	// What is out of reach is tried again soon, but not at once, and not by all
+	// watchers in step: each pause is between a half and one and a half of these.
+	firstReopen = 100 * time.Millisecond
+	lastReopen  = time.Second
+	maxListing  = 4 << 20
+	// connections is how many a watcher may hold to one address: a watch, and a
+	// call for the whole list.
+	connections = 2
+)
+
+// errGap says that a change was missed or could not be read: only the whole list helps.
+var errGap = errors.New("gap in the list")
+
+// errStale says that another replica may know more.
+var errStale = errors.New("the replica has no leader")
+
+// errMoved ends a watch at addresses that are not discovery's any more.
+var errMoved = errors.New("discovery has moved")
+
+// Options are what a Watcher needs.
+type Options struct {
+	Addrs   []string      // of one service: replicas that share their versions
+	Known   *Listing      // the list as last held; nil where there is none
+	Deliver func(Listing) // takes the news, in order
+	Seed    uint64        // spreads watchers over replicas and in time
+
+	// Asks are the owner's calls, where it decides when to ask for the list; nil
+	// where the watch is to be opened again whenever it ends.
+	Asks   <-chan struct{}
+	Failed func() // then tells it that its call failed or the watch has ended
+}
+
+// Watcher follows the list.
+type Watcher struct {
+	Options
+	client *http.Client
+	rng    *rand.Rand
+	at     int    // the address in use
+	held   bool   // a list is held: changes may build on it
+	seq    uint64 // its version
+
+	moves chan []string // the addresses to go on with; holds the latest alone
+}
+
+// NewWatcher makes a Watcher; Follow sets it to work.
+func NewWatcher(o Options) *Watcher {
+	w := &Watcher{
+		Options: o,
+		rng:     rand.New(rand.NewPCG(o.Seed, 2)),
+		moves:   make(chan []string, 1),
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:           (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext,
+			ResponseHeaderTimeout: silence,
+			MaxConnsPerHost:       connections,
+			DisableCompression:    true,
+		}},
+	}
+	w.at = w.rng.IntN(len(o.Addrs))
+	if o.Known != nil {
+		w.held, w.seq = true, o.Known.Seq
+	}
+	return w
+}
+
+func (w *Watcher) url() string { return "http://" + w.Addrs[w.at] + registry.ListPath }
+
+// Move makes Follow go on at other addresses, at once. It must not be called concurrently.
+func (w *Watcher) Move(addrs []string) {
+	select {
+	case <-w.moves: // not taken yet, and out of date
+	default:
+	}
+	w.moves <- addrs
+}
+
+// moved turns to other addresses. Their versions may have nothing to do with those
+// that were counted so far: only their whole list is to be built on.
+func (w *Watcher) moved(addrs []string) {
+	slog.Info("discovery: moved", "to", strings.Join(addrs, " "))
+	w.client.CloseIdleConnections()
+	w.Addrs, w.at, w.held = addrs, w.rng.IntN(len(addrs)), false
+}
+
+// next turns to the next replica, whose versions are those of the last one.
+func (w *Watcher) next() { w.at = (w.at + 1) % len(w.Addrs) }
+
+// Follow watches the list until ctx ends. When a watch ends or falls silent it
+// opens the next one soon, at the next address, or when the owner asks, where
+// asking is the owner's. The list that was held stays in force until there is another.
+func (w *Watcher) Follow(ctx context.Context) {
+	defer w.client.CloseIdleConnections()
+	pause, down, atOnce := firstReopen, false, false
+	for ctx.Err() == nil {
+		if w.Asks != nil && !atOnce {
+			select {
+			case <-w.Asks:
+			case addrs := <-w.moves:
+				w.moved(addrs)
+			case <-ctx.Done():
+				return
+			}
+		}
+		heard, addrs, err := w.watchHere(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if atOnce = addrs != nil; atOnce {
+			w.moved(addrs)
+			pause, down = firstReopen, false
+			continue
+		}
+		if heard {
+			pause, down = firstReopen, false
+		}
+		if !down {
+			slog.Warn("discovery: watch ended", "at", w.Addrs[w.at], "err", err, "seq", w.seq)
+			down = true
+		}
+		w.next()
+		if w.Asks != nil {
+			select {
+			case <-w.Asks: // a call meant for the watch that has ended
+			default:
+			}
+			w.Failed()
+			continue
+		}
+		select {
+		case <-time.After(spread(w.rng, pause)):
+			pause = min(2*pause, lastReopen)
+		case addrs := <-w.moves:
+			w.moved(addrs)
+			pause, down = firstReopen, false
+		case <-ctx.Done():
+		}
+	}
+}
+
+// spread is a pause of about d, so that callers do not act as one.
+func spread(rng *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + rng.Float64()))
+}
+
+// watchHere watches until the watch ends or discovery moves to other addresses.
+// When it returns, nothing more comes from the old ones. Replicas that say they
+// are stale are watched only where no other is better.
+func (w *Watcher) watchHere(ctx context.Context) (heard bool, addrs []string, err error) {
+	ctx, leave := context.WithCancelCause(ctx)
+	defer leave(nil)
+	over, turned := make(chan struct{}), make(chan []string, 1)
+	go func() {
+		defer close(turned)
+		select {
+		case addrs := <-w.moves:
+			leave(errMoved)
+			turned <- addrs
+		case <-over:
+		}
+	}()
+	for range len(w.Addrs) - 1 {
+		if heard, err = w.watch(ctx, false); !errors.Is(err, errStale) {
+			break
+		}
+		w.next()
+	}
+	if len(w.Addrs) == 1 || errors.Is(err, errStale) {
+		heard, err = w.watch(ctx, true)
+	}
+	close(over)
+	return heard, <-turned, err
+}
+
+// watch opens one watch and passes on what it brings until it ends; heard tells
+// whether any line came. Where no list is held, it asks for the whole list first.
+func (w *Watcher) watch(ctx context.Context, stale bool) (heard bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(silence, func() { cancel(errors.New("silent")) })
+	defer timer.Stop()
+	defer func() {
+		if err != nil && context.Cause(ctx) != nil {
+			err = context.Cause(ctx)
+		}
+	}()
+	if !w.held {
+		if err := w.fetch(ctx, stale); err != nil {
+			return false, err
+		}
+		heard = true
+	}
+	body, err := w.open(ctx, w.url()+"?watch=1&from="+strconv.FormatUint(w.seq, 10), stale)
+	if err != nil {
+		return heard, err
+	}
+	defer body.Close()
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4<<10), maxListing)
+	for lines.Scan() {
+		timer.Reset(silence)
+		line := bytes.TrimSpace(lines.Bytes())
+		switch {
+		case len(line) > 0:
+			if err := w.take(line); err != nil {
+				w.held = false
+				return heard, err
+			}
+		case !heard:
+			w.Deliver(Listing{Seq: w.seq}) // the watch is up and nothing has changed: the owner's call went well
+		}
+		heard = true
+	}
+	if err := lines.Err(); err != nil {
+		return heard, err
+	}
+	return heard, io.EOF
+}
+
+// fetch asks for the whole list.
+func (w *Watcher) fetch(ctx context.Context, stale bool) error {
+	body, err := w.open(ctx, w.url(), stale)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	text, err := io.ReadAll(io.LimitReader(body, maxListing))
+	if err != nil {
+		return err
+	}
+	return w.take(text)
+}
+
+func (w *Watcher) open(ctx context.Context, url string, stale bool) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	if !stale && strings.HasPrefix(resp.Header.Get(registry.ReadHeader), registry.ReadStale) {
+		resp.Body.Close()
+		return nil, errStale
+	}
+	return resp.Body, nil
+}
+
+// take passes on one piece of news. Changes apply in order and only on top of
+// the list they follow; what was had already is passed over.
+func (w *Watcher) take(text []byte) error {
+	var l Listing
+	if err := json.Unmarshal(text, &l); err != nil {
+		return fmt.Errorf("%w: %w", errGap, err)
+	}
+	switch {
+	case l.Whole:
+	case !w.held || l.Seq < w.seq:
+		return errGap
+	case l.Seq == w.seq:
+		l.Hosts = nil
+	}
+	w.held, w.seq = true, l.Seq
+	w.Deliver(l)
+	return nil
+}
--- /dev/null
+++ b/internal/registry/client/watch_test.go
@@ -0,0 +1,168 @@
+package client
+
+import (
+	"testing"
+	"time"
+
+	"mothridge/internal/registry/registrytest"
+)
+
+const patience = 10 * time.Second // how long a test waits for an event; it never has to in a good run
+
+// await takes the next value of a channel.
+func await[T any](t *testing.T, what string, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(patience):
+		t.Fatalf("waited in vain for %s", what)
+		panic("unreachable")
+	}
+}
+
+// startDiscovery follows a fake registry and hands out what is delivered.
+func startDiscovery(t *testing.T, g *registrytest.Registry, known *Listing) <-chan Listing {
+	t.Helper()
+	news := make(chan Listing, 10)
+	d := NewWatcher(Options{Addrs: []string{g.Addr}, Known: known, Deliver: func(l Listing) { news <- l }})
+	go d.Follow(t.Context())
+	return news
+}
+
+func TestWatchBringsChangesInOrder(t *testing.T) {
+	g := registrytest.NewRegistry(t)
+	news := startDiscovery(t, g, &Listing{Seq: 41, Whole: true})
+	w := await(t, "the watch", g.Watches)
+	if w.From != "41" {
+		t.Errorf("from %s, want 41", w.From)
+	}
+	up, drain := registrytest.HostText("s-1", "127.0.0.1:7", "up", 0), registrytest.HostText("s-1", "127.0.0.1:7", "draining", 0)
+	w.Lines <- registrytest.ListText(43, false, up)
+	w.Lines <- ""
+	w.Lines <- registrytest.ListText(43, false, up) // had already
+	w.Lines <- registrytest.ListText(47, false, drain)
+	for i, want := range []struct {
+		seq    uint64
+		hosts  int
+		health string
+	}{{43, 1, "up"}, {43, 0, ""}, {47, 1, "draining"}} {
+		l := await(t, "a change", news)
+		if l.Seq != want.seq || len(l.Hosts) != want.hosts || (want.hosts > 0 && l.Hosts[0].Health != want.health) {
+			t.Errorf("change %d is %+v, want %+v", i, l, want)
+		}
+	}
+	close(w.Lines) // the watch ends
+	if w := await(t, "the next watch", g.Watches); w.From != "47" {
+		t.Errorf("the next watch is from %s, want 47", w.From)
+	}
+}
+
+func TestGapBringsTheWholeList(t *testing.T) {
+	for name, line := range map[string]string{
+		"unreadable": `{"seq":42,"whole":false,"hosts":[{"ho`, "backwards": registrytest.ListText(30, false), "no list": `{"seq":42,"hosts":7}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := registrytest.NewRegistry(t)
+			news := startDiscovery(t, g, &Listing{Seq: 41, Whole: true})
+			w := await(t, "the watch", g.Watches)
+			w.Lines <- line
+			await(t, "the call for the whole list", g.Asked)
+			g.Whole <- registrytest.ListText(45, true, registrytest.HostText("s-1", "127.0.0.1:7", "up", 0))
+			if l := await(t, "the list", news); l.Seq != 45 || !l.Whole || len(l.Hosts) != 1 {
+				t.Errorf("delivered %+v", l)
+			}
+			if w := await(t, "the next watch", g.Watches); w.From != "45" {
+				t.Errorf("the next watch is from %s, want 45", w.From)
+			}
+		})
+	}
+}
+
+func TestSilentWatchIsReopened(t *testing.T) {
+	g := registrytest.NewRegistry(t)
+	startDiscovery(t, g, &Listing{Seq: 1, Whole: true})
+	w := await(t, "the watch", g.Watches)
+	start := time.Now()
+	w2 := await(t, "the next watch", g.Watches)
+	if took := time.Since(start); took < silence/2 || w2.From != "1" {
+		t.Errorf("reopened after %v from %s", took, w2.From)
+	}
+	await(t, "the end of the silent one", w.Ended)
+}
+
+// A new address counts at once, its whole list first: its versions may have
+// nothing to do with the old one's, whose news must not come after it.
+func TestMovedDiscovery(t *testing.T) {
+	for name, held := range map[string]*Listing{"watching": {Seq: 41, Whole: true}, "waiting for a list": nil} {
+		t.Run(name, func(t *testing.T) {
+			old, fresh := registrytest.NewRegistry(t), registrytest.NewRegistry(t)
+			news := make(chan Listing, 10)
+			d := NewWatcher(Options{Addrs: []string{old.Addr}, Known: held, Deliver: func(l Listing) { news <- l }})
+			go d.Follow(t.Context())
+			if held == nil {
+				await(t, "the call to the old one", old.Asked)
+			} else {
+				w := await(t, "the old watch", old.Watches)
+				defer await(t, "the old watch's end", w.Ended)
+			}
+			d.Move([]string{"127.0.0.1:1"}) // and at once on: the last one counts
+			d.Move([]string{fresh.Addr})
+			await(t, "the call for the new list", fresh.Asked)
+			fresh.Whole <- registrytest.ListText(7, true, registrytest.HostText("s-1", "127.0.0.1:7", "up", 0))
+			if l := await(t, "the list", news); l.Seq != 7 || !l.Whole || len(l.Hosts) != 1 {
+				t.Errorf("delivered %+v", l)
+			}
+			if w := await(t, "the new watch", fresh.Watches); w.From != "7" {
+				t.Errorf("the new watch is from %s, want 7", w.From)
+			}
+			if len(news) > 0 {
+				t.Errorf("more came: %+v", <-news)
+			}
+		})
+	}
+}
+
+// Where the module asks for the list, a move needs no asking, and what goes
+// wrong at the new address is told as ever.
+func TestMovedDiscoveryThatIsAsked(t *testing.T) {
+	old, fresh := registrytest.NewRegistry(t), registrytest.NewRegistry(t)
+	asks, failed, news := make(chan struct{}, 1), make(chan struct{}, 1), make(chan Listing, 10)
+	d := NewWatcher(Options{Addrs: []string{old.Addr}, Known: &Listing{Seq: 3, Whole: true}, Deliver: func(l Listing) { news <- l }})
+	d.Asks, d.Failed = asks, func() { failed <- struct{}{} }
+	go d.Follow(t.Context())
+	asks <- struct{}{}
+	await(t, "the old watch", old.Watches)
+	d.Move([]string{fresh.Addr})
+	await(t, "the call for the new list", fresh.Asked)
+	fresh.Whole <- registrytest.ListText(1, true)
+	if l := await(t, "the list", news); l.Seq != 1 || !l.Whole {
+		t.Errorf("delivered %+v", l)
+	}
+	close(await(t, "the new watch", fresh.Watches).Lines)
+	await(t, "word of its end", failed)
+}
+
+// Where the list is asked for, the module asks, and hears of success and failure.
+func TestAskedListIsTheModulesToAsk(t *testing.T) {
+	g := registrytest.NewRegistry(t)
+	asks, failed, news := make(chan struct{}, 1), make(chan struct{}, 1), make(chan Listing, 10)
+	d := NewWatcher(Options{Addrs: []string{g.Addr}, Known: &Listing{Seq: 3, Whole: true}, Deliver: func(l Listing) { news <- l }})
+	d.Asks, d.Failed = asks, func() { failed <- struct{}{} }
+	go d.Follow(t.Context())
+	asks <- struct{}{}
+	w := await(t, "the watch", g.Watches)
+	w.Lines <- "" // nothing has changed: the call went well all the same
+	if l := await(t, "word of it", news); l.Seq != 3 || l.Whole || len(l.Hosts) != 0 {
+		t.Errorf("delivered %+v", l)
+	}
+	close(w.Lines)
+	await(t, "word of the failure", failed)
+	select {
+	case <-g.Watches:
+		t.Error("asked again unbidden")
+	default:
+	}
+	asks <- struct{}{}
+	await(t, "the second watch", g.Watches)
+}
--- /dev/null
+++ b/internal/registry/instance.go
@@ -0,0 +1,127 @@
+// Package registry is the list of booking servers as a state machine: instances,
+// versions, a bounded log of changes, drain marks and records. Commands go in,
+// results and changes come out. It does no I/O, starts no goroutine and reads no
+// clock: time enters only as a command's field, so that every replica that applies
+// the same commands holds the same state.
+//
+// Nothing here is safe for concurrent use.
+package registry
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"strings"
+)
+
+// Health is what the list says of an instance.
+type Health string
+
+// The words that the protocol has for it.
+const (
+	Up       Health = "up"
+	Draining Health = "draining"
+	Removed  Health = "removed" // among changes only
+)
+
+// Instance is one entry of the list, in the protocol's form.
+type Instance struct {
+	Host   string  `json:"host"` // the same at every sidecar
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  *int    `json:"block,omitempty"`
+	Health Health  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMS int64   `json:"born_ms"` // the last start; 0: long ago
+}
+
+// Listing is what discovery answers: the whole list, or what has changed since
+// the version that was asked for.
+type Listing struct {
+	Seq   uint64     `json:"seq"`
+	Whole bool       `json:"whole"`
+	Hosts []Instance `json:"hosts"`
+}
+
+const (
+	// ListPath is where the list is, by the protocol.
+	ListPath = "/registry/instances"
+	// WritePath begins the paths of the write interface.
+	WritePath = "/registry/v1/"
+	// ReadHeader says in each answer how fresh what it tells is.
+	ReadHeader = "Registry-Read"
+	// ReadStale means that the replica has no contact with a leader.
+	ReadStale = "stale"
+	// ReadCurrent means that it heard of a leader lately: an answer may still be a
+	// moment behind.
+	ReadCurrent = "current"
+	// ReadLinearizable means that the leader made sure that it still is the leader.
+	ReadLinearizable = "linearizable"
+)
+
+const (
+	maxName      = 128
+	maxInstances = 4096
+	maxShare     = 1e6
+	maxBlock     = 1 << 30
+	// MaxVersion is the highest version that a JSON reader which keeps numbers as
+	// floating point still tells from its neighbours.
+	MaxVersion = 1<<53 - 1
+)
+
+// checkName says whether a text can stand in a path, a log line and a list.
+func checkName(what, name string) error {
+	switch {
+	case name == "":
+		return fmt.Errorf("%s is missing", what)
+	case len(name) > maxName:
+		return fmt.Errorf("%s has %d bytes, %d at most", what, len(name), maxName)
+	case strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r > '~' || r == '/' || r == '?' || r == '#' || r == '%' }):
+		return fmt.Errorf("%s %q holds more than letters, digits and plain signs", what, name)
+	}
+	return nil
+}
+
+// Check returns an error that says in one line what is wrong with an instance
+// that is to be registered.
+func (i Instance) Check() error {
+	if err := checkName("host", i.Host); err != nil {
+		return err
+	}
+	addr, err := netip.ParseAddrPort(i.Dial)
+	switch {
+	case err != nil:
+		return fmt.Errorf("dial %.64q is not an address with a port", i.Dial)
+	case !addr.Addr().Unmap().IsLoopback():
+		return fmt.Errorf("dial %s is not a loopback address", i.Dial)
+	case addr.Port() == 0:
+		return fmt.Errorf("dial %s has no port", i.Dial)
+	}
+	if err := checkName("site", i.Site); err != nil {
+		return err
+	}
+	if i.Class != "" {
+		if err := checkName("class", i.Class); err != nil {
+			return err
+		}
+	}
+	switch {
+	case i.Block != nil && (*i.Block < 0 || *i.Block > maxBlock):
+		return fmt.Errorf("block is %d, it must lie between 0 and %d", *i.Block, maxBlock)
+	case i.Health != Up && i.Health != Draining:
+		return fmt.Errorf("health is %.32q, it must be up or draining", i.Health)
+	case !(i.Share > 0) || i.Share > maxShare || math.IsNaN(i.Share):
+		return fmt.Errorf("share is %v, it must be above 0 and at most %v", i.Share, float64(maxShare))
+	case i.BornMS < 0 || i.BornMS > MaxVersion:
+		return fmt.Errorf("born_ms is %d, it must be a time after 1970", i.BornMS)
+	}
+	return nil
+}
+
+// equal compares two instances by their contents.
+func (i Instance) equal(j Instance) bool {
+	a, b := i.Block, j.Block
+	i.Block, j.Block = nil, nil
+	return i == j && (a == nil) == (b == nil) && (a == nil || *a == *b)
+}
--- /dev/null
+++ b/internal/registry/state.go
@@ -0,0 +1,490 @@
+package registry
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Op names what a command does.
+type Op string
+
+// The commands.
+const (
+	Found    Op = "found"    // begins a history; the first of every log
+	Register Op = "register" // takes an instance in, or changes it
+	Mark     Op = "mark"     // marks a host draining, or takes the mark back
+	Remove   Op = "remove"   // takes an instance out
+	Expire   Op = "expire"   // takes instances out whose sessions have ended
+	Put      Op = "put"      // writes a record
+	Drop     Op = "drop"     // deletes a record
+)
+
+// Command is one change that all replicas apply in the same order.
+type Command struct {
+	Op Op `json:"op"`
+	// AtMS is when the leader took the command on, as Unix time in milliseconds.
+	AtMS int64 `json:"at_ms,omitempty"`
+	// IfVersion makes the command conditional on the version of the entry or
+	// record that it changes; 0 means that there must be none.
+	IfVersion *uint64 `json:"if_version,omitempty"`
+
+	Group    string    `json:"group,omitempty"`
+	Instance *Instance `json:"instance,omitempty"`
+	Host     string    `json:"host,omitempty"`
+	Session  string    `json:"session,omitempty"`
+	TTLMS    int64     `json:"ttl_ms,omitempty"`
+	Machine  string    `json:"machine,omitempty"`
+	Draining bool      `json:"draining,omitempty"`
+	By       string    `json:"by,omitempty"`        // who marks: only the same takes the mark back
+	Ended    []Ended   `json:"ended,omitempty"`     // of Expire
+	Key      string    `json:"key,omitempty"`       // of a record
+	Value    []byte    `json:"value,omitempty"`     // of a record
+	MustMark []string  `json:"hosts,omitempty"`     // of Mark: all of them or none
+	Record   string    `json:"record,omitempty"`    // of Mark: only while this record
+	RecordAt uint64    `json:"record_at,omitempty"` // has this version
+}
+
+// Ended is a session that is over: it counts only while the host still has it.
+type Ended struct {
+	Host    string `json:"host"`
+	Session string `json:"session"`
+}
+
+// Why a command was not carried out. The state is as it was.
+var (
+	ErrConflict = errors.New("version conflict")
+	ErrTaken    = errors.New("registered by another session that is alive")
+	ErrUnknown  = errors.New("no such entry")
+	ErrFull     = errors.New("full")
+	ErrBad      = errors.New("bad command")
+)
+
+// Result is what became of a command.
+type Result struct {
+	Version uint64   // of the entry or record afterwards; 0 where there is none
+	Seq     uint64   // of the list afterwards
+	Changed []string // hosts whose entry in the list changed
+	Err     error
+}
+
+// Entry is an instance with what the list does not show of it.
+type Entry struct {
+	Instance
+	Session string `json:"session,omitempty"`
+	TTLMS   int64  `json:"ttl_ms,omitempty"` // 0: without a session, for ever
+	Machine string `json:"machine"`          // the machine it runs on
+	Version uint64 `json:"version"`          // of the list when it last changed
+	Asked   Health `json:"asked"`            // what the instance says of itself, without a mark
+}
+
+// Record is a value that others keep here under compare-and-set.
+type Record struct {
+	Value   []byte `json:"value"`
+	Version uint64 `json:"version"`
+	AtMS    int64  `json:"at_ms"`
+}
+
+const (
+	maxChanges  = 4096 // entries in the log of changes
+	maxRecords  = 1024
+	maxValue    = 32 << 10
+	maxMarks    = maxInstances
+	versionRoom = 1024 // versions a group is given for each millisecond of its life
+)
+
+// State is the whole state machine.
+type State struct {
+	group   string
+	founded uint64 // the first version of this history
+	seq     uint64 // the list's version
+	entries map[string]*Entry
+	marks   map[string]string // host -> who marked it
+	records map[string]*Record
+	edits   uint64 // the last version given to a record
+	log     []change
+	oldest  uint64 // the log is complete for versions after this
+}
+
+// change is one host's change. What it changed to is the entry's to tell.
+type change struct {
+	Seq  uint64 `json:"seq"`
+	Host string `json:"host"`
+}
+
+// New makes an empty State that belongs to no group yet.
+func New() *State {
+	return &State{entries: make(map[string]*Entry), marks: make(map[string]string), records: make(map[string]*Record)}
+}
+
+// Group returns the name of the group whose history this is; empty before it was founded.
+func (s *State) Group() string { return s.group }
+
+// Seq returns the list's version.
+func (s *State) Seq() uint64 { return s.seq }
+
+// Founded returns the first version of this history.
+func (s *State) Founded() uint64 { return s.founded }
+
+// Apply carries one command out.
+func (s *State) Apply(c Command) Result {
+	r := s.apply(c)
+	r.Seq = s.seq
+	return r
+}
+
+func (s *State) apply(c Command) Result {
+	if s.group == "" && c.Op != Found {
+		return failed(fmt.Errorf("%w: the group has not been founded", ErrBad))
+	}
+	switch c.Op {
+	case Found:
+		return s.found(c)
+	case Register:
+		return s.register(c)
+	case Mark:
+		return s.mark(c)
+	case Remove:
+		return s.remove(c)
+	case Expire:
+		return s.expire(c)
+	case Put, Drop:
+		return s.edit(c)
+	}
+	return failed(fmt.Errorf("%w: operation %.32q", ErrBad, c.Op))
+}
+
+func failed(err error) Result { return Result{Err: err} }
+
+// found begins a history. Its versions begin where no other group's can be: a
+// watcher that comes with a version of another history is older than this one's
+// log or ahead of it, and gets the whole list either way.
+func (s *State) found(c Command) Result {
+	if s.group != "" {
+		if s.group != c.Group {
+			return failed(fmt.Errorf("%w: this is group %q", ErrConflict, s.group))
+		}
+		return Result{Version: s.founded}
+	}
+	if err := checkName("group", c.Group); err != nil {
+		return failed(fmt.Errorf("%w: %w", ErrBad, err))
+	}
+	if c.AtMS <= 0 || c.AtMS > MaxVersion/versionRoom/2 {
+		return failed(fmt.Errorf("%w: founded at %d", ErrBad, c.AtMS))
+	}
+	s.group, s.founded = c.Group, uint64(c.AtMS)*versionRoom
+	s.seq, s.oldest, s.edits = s.founded, s.founded, s.founded
+	return Result{Version: s.founded}
+}
+
+// register takes an instance in. The same again changes nothing; another session
+// may take a host over only if it started later, as after a restart, or if it says
+// which version it replaces.
+func (s *State) register(c Command) Result {
+	if c.Instance == nil {
+		return failed(fmt.Errorf("%w: no instance", ErrBad))
+	}
+	if err := c.Instance.Check(); err != nil {
+		return failed(fmt.Errorf("%w: %w", ErrBad, err))
+	}
+	e := &Entry{Instance: *c.Instance, Session: c.Session, TTLMS: c.TTLMS, Machine: c.Machine, Asked: c.Instance.Health}
+	if _, marked := s.marks[e.Host]; marked {
+		e.Health = Draining
+	}
+	was := s.entries[e.Host]
+	if was != nil {
+		if was.Instance.equal(e.Instance) && was.Session == e.Session && was.TTLMS == e.TTLMS && was.Machine == e.Machine && was.Asked == e.Asked {
+			return Result{Version: was.Version}
+		}
+		if was.Session != e.Session && c.IfVersion == nil && was.Session != "" && e.BornMS <= was.BornMS {
+			return Result{Version: was.Version, Err: fmt.Errorf("%w: host %s", ErrTaken, e.Host)}
+		}
+	}
+	if err := condition(c.IfVersion, was); err != nil {
+		return Result{Version: was.version(), Err: err}
+	}
+	if was == nil && len(s.entries) >= maxInstances {
+		return failed(fmt.Errorf("%w: %d instances are registered", ErrFull, len(s.entries)))
+	}
+	s.entries[e.Host] = e
+	s.changed(e.Host) // even where the list does not show it: the entry's version has to move
+	return Result{Version: e.Version, Changed: []string{e.Host}}
+}
+
+func (e *Entry) version() uint64 {
+	if e == nil {
+		return 0
+	}
+	return e.Version
+}
+
+func condition(want *uint64, e *Entry) error {
+	if want != nil && *want != e.version() {
+		return fmt.Errorf("%w: the entry has version %d, not %d", ErrConflict, e.version(), *want)
+	}
+	return nil
+}
+
+// mark marks hosts draining for somebody, or takes that back: all or none. A mark
+// stays while its host is away: a server that starts again on a machine that is
+// being drained gets nothing.
+func (s *State) mark(c Command) Result {
+	hosts := c.MustMark
+	if c.Host != "" {
+		hosts = append(slices.Clone(hosts), c.Host)
+	}
+	if len(hosts) == 0 || c.By == "" || len(c.By) > maxName {
+		return failed(fmt.Errorf("%w: a mark needs hosts and who sets it", ErrBad))
+	}
+	if c.Record != "" {
+		if rec := s.records[c.Record]; rec == nil || rec.Version != c.RecordAt {
+			return failed(fmt.Errorf("%w: record %s is not at version %d any more", ErrConflict, c.Record, c.RecordAt))
+		}
+	}
+	for _, h := range hosts {
+		e := s.entries[h]
+		by, marked := s.marks[h]
+		switch {
+		case c.Draining && e == nil && !marked:
+			return failed(fmt.Errorf("%w: host %.64s", ErrUnknown, h))
+		case marked && by != c.By:
+			return Result{Version: e.version(), Err: fmt.Errorf("%w: host %s is marked by %s", ErrConflict, h, by)}
+		case c.Draining && !marked && len(s.marks) >= maxMarks:
+			return failed(fmt.Errorf("%w: %d hosts are marked", ErrFull, len(s.marks)))
+		}
+		if len(hosts) == 1 {
+			if err := condition(c.IfVersion, e); err != nil && (c.Draining != marked) {
+				return Result{Version: e.version(), Err: err}
+			}
+		}
+	}
+	var changed []string
+	for _, h := range hosts {
+		e := s.entries[h]
+		health := Draining
+		if c.Draining {
+			s.marks[h] = c.By
+		} else if delete(s.marks, h); e != nil {
+			health = e.Asked
+		}
+		if e != nil && e.Health != health {
+			e.Health = health
+			changed = append(changed, h)
+		}
+	}
+	s.changed(changed...)
+	return Result{Version: s.entries[hosts[len(hosts)-1]].version(), Changed: changed}
+}
+
+// remove takes an instance out, and its mark with it. One that is not there is
+// out already.
+func (s *State) remove(c Command) Result {
+	if err := checkName("host", c.Host); err != nil {
+		return failed(fmt.Errorf("%w: %w", ErrBad, err))
+	}
+	e := s.entries[c.Host]
+	if e == nil {
+		return Result{}
+	}
+	if err := condition(c.IfVersion, e); err != nil {
+		return Result{Version: e.Version, Err: err}
+	}
+	if c.Session != "" && c.Session != e.Session {
+		return Result{Version: e.Version, Err: fmt.Errorf("%w: host %s", ErrTaken, c.Host)}
+	}
+	delete(s.entries, c.Host)
+	if c.Session == "" { // the operator's word, not the instance's own
+		delete(s.marks, c.Host)
+	}
+	s.changed(c.Host)
+	return Result{Changed: []string{c.Host}}
+}
+
+// expire takes out those whose session is still the one that ended.
+func (s *State) expire(c Command) Result {
+	var changed []string
+	for _, x := range c.Ended {
+		if e := s.entries[x.Host]; e != nil && e.Session == x.Session && e.Session != "" {
+			delete(s.entries, x.Host)
+			changed = append(changed, x.Host)
+		}
+	}
+	s.changed(changed...)
+	return Result{Changed: changed}
+}
+
+// edit writes or deletes a record. The same value again changes nothing.
+func (s *State) edit(c Command) Result {
+	if err := checkName("key", c.Key); err != nil {
+		return failed(fmt.Errorf("%w: %w", ErrBad, err))
+	}
+	was, version := s.records[c.Key], uint64(0)
+	if was != nil {
+		version = was.Version
+	}
+	if c.Op == Drop && was == nil {
+		return Result{}
+	}
+	if c.Op == Put && was != nil && slices.Equal(was.Value, c.Value) && (c.IfVersion == nil || *c.IfVersion <= version) {
+		return Result{Version: version} // a repeat, or the same by somebody else
+	}
+	switch {
+	case c.IfVersion != nil && *c.IfVersion != version:
+		return Result{Version: version, Err: fmt.Errorf("%w: the record has version %d, not %d", ErrConflict, version, *c.IfVersion)}
+	case len(c.Value) > maxValue:
+		return Result{Version: version, Err: fmt.Errorf("%w: a value of %d bytes, %d at most", ErrBad, len(c.Value), maxValue)}
+	case was == nil && len(s.records) >= maxRecords:
+		return failed(fmt.Errorf("%w: %d records are kept", ErrFull, len(s.records)))
+	}
+	if c.Op == Drop {
+		delete(s.records, c.Key)
+		return Result{}
+	}
+	s.edits++
+	s.records[c.Key] = &Record{Value: slices.Clone(c.Value), Version: s.edits, AtMS: c.AtMS}
+	return Result{Version: s.edits}
+}
+
+// changed gives the list its next version, with these hosts changed in it.
+func (s *State) changed(hosts ...string) {
+	if len(hosts) == 0 {
+		return
+	}
+	s.seq++
+	for _, h := range hosts {
+		if e := s.entries[h]; e != nil {
+			e.Version = s.seq
+		}
+		s.log = append(s.log, change{s.seq, h})
+	}
+	if over := len(s.log) - maxChanges; over > 0 {
+		s.oldest = s.log[over-1].Seq
+		for over < len(s.log) && s.log[over].Seq == s.oldest { // a version goes whole or not at all
+			over++
+		}
+		s.log = slices.Delete(s.log, 0, over)
+	}
+}
+
+// Whole returns the list.
+func (s *State) Whole() Listing {
+	l := Listing{Seq: s.seq, Whole: true, Hosts: make([]Instance, 0, len(s.entries))}
+	for _, h := range slices.Sorted(maps.Keys(s.entries)) {
+		l.Hosts = append(l.Hosts, s.entries[h].Instance)
+	}
+	return l
+}
+
+// Since returns what changed after a version: each host that did, as it is now.
+// Where the log does not tell, for a version before it, after the newest or of
+// another history, it is the whole list.
+func (s *State) Since(from uint64) Listing {
+	if from < s.oldest || from > s.seq {
+		return s.Whole()
+	}
+	at, _ := slices.BinarySearchFunc(s.log, from+1, func(c change, v uint64) int { return cmp.Compare(c.Seq, v) })
+	hosts := make(map[string]bool)
+	for _, c := range s.log[at:] {
+		hosts[c.Host] = true
+	}
+	l := Listing{Seq: s.seq, Hosts: make([]Instance, 0, len(hosts))}
+	for _, h := range slices.Sorted(maps.Keys(hosts)) {
+		if e := s.entries[h]; e != nil {
+			l.Hosts = append(l.Hosts, e.Instance)
+		} else {
+			l.Hosts = append(l.Hosts, Instance{Host: h, Health: Removed})
+		}
+	}
+	return l
+}
+
+// Entries returns all entries, by host.
+func (s *State) Entries() []Entry {
+	all := make([]Entry, 0, len(s.entries))
+	for _, h := range slices.Sorted(maps.Keys(s.entries)) {
+		all = append(all, *s.entries[h])
+	}
+	return all
+}
+
+// Entry returns one entry.
+func (s *State) Entry(host string) (Entry, bool) {
+	if e := s.entries[host]; e != nil {
+		return *e, true
+	}
+	return Entry{}, false
+}
+
+// Marks returns who marked which hosts draining.
+func (s *State) Marks() map[string]string { return maps.Clone(s.marks) }
+
+// Record returns one record.
+func (s *State) Record(key string) (Record, bool) {
+	if r := s.records[key]; r != nil {
+		return *r, true
+	}
+	return Record{}, false
+}
+
+// Records returns the keys of all records.
+func (s *State) Records() []string { return slices.Sorted(maps.Keys(s.records)) }
+
+// image is the state as it stands in a snapshot.
+type image struct {
+	Form    int                `json:"form"`
+	Group   string             `json:"group"`
+	Founded uint64             `json:"founded"`
+	Seq     uint64             `json:"seq"`
+	Oldest  uint64             `json:"oldest"`
+	Edits   uint64             `json:"edits"`
+	Entries map[string]*Entry  `json:"entries"`
+	Marks   map[string]string  `json:"marks"`
+	Records map[string]*Record `json:"records"`
+	Log     []change           `json:"log"`
+}
+
+const imageForm = 1
+
+// MarshalJSON writes the state for a snapshot.
+func (s *State) MarshalJSON() ([]byte, error) {
+	return json.Marshal(image{imageForm, s.group, s.founded, s.seq, s.oldest, s.edits, s.entries, s.marks, s.records, s.log})
+}
+
+// UnmarshalJSON reads a snapshot. A state that cannot be right is refused, and
+// leaves s as it was.
+func (s *State) UnmarshalJSON(text []byte) error {
+	var i image
+	if err := json.Unmarshal(text, &i); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	switch {
+	case i.Form != imageForm:
+		return fmt.Errorf("snapshot: form %d is not known, only %d", i.Form, imageForm)
+	case i.Group == "" && i.Seq != 0, i.Seq < i.Founded, i.Oldest < i.Founded, i.Oldest > i.Seq:
+		return fmt.Errorf("snapshot: versions %d to %d of a history from %d", i.Oldest, i.Seq, i.Founded)
+	case !slices.IsSortedFunc(i.Log, func(a, b change) int { return cmp.Compare(a.Seq, b.Seq) }),
+		len(i.Log) > 0 && (i.Log[0].Seq <= i.Oldest || i.Log[len(i.Log)-1].Seq > i.Seq):
+		return errors.New("snapshot: the log of changes is out of order")
+	}
+	for host, e := range i.Entries {
+		if e == nil || e.Host != host || e.Version > i.Seq {
+			return fmt.Errorf("snapshot: entry %.64q is broken", host)
+		}
+	}
+	for key, r := range i.Records {
+		if r == nil || r.Version > i.Edits {
+			return fmt.Errorf("snapshot: record %.64q is broken", key)
+		}
+	}
+	fresh := New()
+	fresh.group, fresh.founded, fresh.seq, fresh.oldest, fresh.edits = i.Group, i.Founded, i.Seq, i.Oldest, i.Edits
+	maps.Copy(fresh.entries, i.Entries)
+	maps.Copy(fresh.marks, i.Marks)
+	maps.Copy(fresh.records, i.Records)
+	fresh.log = i.Log
+	*s = *fresh
+	return nil
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"mothridge/internal/registry/client"
 	"mothridge/internal/settings"
 	"mothridge/policy"
 )
@@ -19,8 +20,9 @@
 	Name      string
 	Listen    string // the one address to listen on
 	Discovery string
+	Replicas  []string // further addresses of the same discovery service
 	Seed      uint64
-	Known     *listing // the list of upstreams as last held; nil where there is none
+	Known     *client.Listing // the list of upstreams as last held; nil where there is none
 	Limits    Limits
 	path      string // the file it came from
 
@@ -99,22 +101,42 @@
 	if err := fresh.checkDiscovery(); err != nil {
 		return err
 	}
-	c.Discovery, c.Connections = fresh.Discovery, fresh.Connections
+	c.Discovery, c.Replicas, c.Connections = fresh.Discovery, fresh.Replicas, fresh.Connections
 	return nil
 }
 
+// maxReplicas is more than a group of replicas has.
+const maxReplicas = 16
+
 func (c *Config) checkDiscovery() error {
-	if _, err := netip.ParseAddrPort(c.Discovery); err != nil {
-		return fmt.Errorf("discovery address: %w", err)
+	if len(c.Replicas) > maxReplicas {
+		return fmt.Errorf("discovery_replicas: %d addresses, %d at most", len(c.Replicas), maxReplicas)
+	}
+	for _, addr := range c.discoveryAddrs() {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return fmt.Errorf("discovery address: %w", err)
+		}
 	}
 	return nil
 }
 
+// discoveryAddrs are all addresses of discovery, each once.
+func (c *Config) discoveryAddrs() []string {
+	addrs := []string{c.Discovery}
+	for _, addr := range c.Replicas {
+		if !slices.Contains(addrs, addr) {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
 func parseConfig(text []byte, fixed *Limits) (*Config, error) {
 	var f struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
+		Replicas  []string        `json:"discovery_replicas"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
 		Known     json.RawMessage `json:"known"`
@@ -137,7 +159,7 @@
 		return nil, err
 	}
 	c := &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: parseKnown(f.Known),
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Replicas: f.Replicas, Limits: f.Limits, Known: parseKnown(f.Known),
 		Policy:      p,
 		Classes:     s.Names("classes"),
 		Tenants:     s.Names("orgs"),
@@ -173,11 +195,11 @@
 
 // parseKnown reads the list as last held. One that cannot be read is done
 // without: discovery brings another.
-func parseKnown(text json.RawMessage) *listing {
+func parseKnown(text json.RawMessage) *client.Listing {
 	if len(text) == 0 || string(text) == "null" {
 		return nil
 	}
-	known := new(listing)
+	known := new(client.Listing)
 	if err := json.Unmarshal(text, known); err != nil {
 		slog.Warn("configuration: the known list is passed over", "err", err)
 		return nil
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -80,13 +81,25 @@
 	if err != nil {
 		return err
 	}
-	return raw.Read(func(fd uintptr) bool {
+	var n int
+	var failed error
+	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return err != syscall.EAGAIN && err != syscall.EINTR // an end or an error is for the reader to find
+		n, _, failed = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return failed != syscall.EAGAIN && failed != syscall.EINTR
 	})
+	switch {
+	case err != nil:
+		return err // too late, or closed here
+	case failed != nil || n == 0:
+		return errVanished
+	}
+	return nil
 }
 
+// errVanished says that a client ended its connection before it sent anything.
+var errVanished = errors.New("ended by the client")
+
 // unreadMost bounds what is read of a request that is refused unread.
 const unreadMost = 16 << 10
 
--- a/internal/sidecar/connections_test.go
+++ b/internal/sidecar/connections_test.go
@@ -17,11 +17,12 @@
 	"testing"
 	"time"
 
+	"mothridge/internal/registry/registrytest"
 	"mothridge/policy"
 )
 
 // dialFrom opens a connection from a loopback address of its own.
-func dialFrom(t *testing.T, from, to string) net.Conn {
+func dialFrom(t testing.TB, from, to string) net.Conn {
 	t.Helper()
 	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
 	c, err := d.Dial("tcp", to)
@@ -52,7 +53,7 @@
 // startLimited runs a sidecar with the limits given.
 func startLimited(t *testing.T, u *upstream, limits clientLimits) (addr string, stop func(), ended <-chan error) {
 	t.Helper()
-	c := testConfig(t, options{}, "127.0.0.1:1", hostText("s-1", u.addr, "up", 0))
+	c := testConfig(t, options{}, "127.0.0.1:1", registrytest.HostText("s-1", u.addr, "up", 0))
 	c.Connections.Clients = limits
 	return startSidecar(t, c)
 }
@@ -166,7 +167,7 @@
 	u := newUpstream(t, always(answer200("ok")))
 	ln := listenLoopback(t)
 	goroutines, fds := runtime.NumGoroutine(), descriptors(t)
-	c := testConfig(t, options{}, "127.0.0.1:1", hostText("s-1", u.addr, "up", 0))
+	c := testConfig(t, options{}, "127.0.0.1:1", registrytest.HostText("s-1", u.addr, "up", 0))
 	c.Connections.Clients = testLimits(8)
 	stop, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -257,7 +258,7 @@
 	t.Parallel() // it takes longer than the protocol's 3 s
 	release := make(chan struct{})
 	u := newUpstream(t, func(received) (string, bool) { <-release; return answer200("ok"), false })
-	addr, stop, ended := startSidecar(t, testConfig(t, options{}, "127.0.0.1:1", hostText("s-1", u.addr, "up", 0)))
+	addr, stop, ended := startSidecar(t, testConfig(t, options{}, "127.0.0.1:1", registrytest.HostText("s-1", u.addr, "up", 0)))
 	held := call{class: "once", id: "held"}.start(t, addr)
 	await(t, "the held one", u.requests)
 	stop()
@@ -585,7 +586,7 @@
 // what else the file says too.
 func TestReloadChangesLimits(t *testing.T) {
 	u := newUpstream(t, always(answer200("ok")))
-	c := testConfig(t, options{}, "127.0.0.1:1", hostText("s-1", u.addr, "up", 0))
+	c := testConfig(t, options{}, "127.0.0.1:1", registrytest.HostText("s-1", u.addr, "up", 0))
 	c.path = filepath.Join(t.TempDir(), "config.json")
 	write := func(connections string) {
 		t.Helper()
@@ -626,3 +627,17 @@
 		t.Errorf("%d idle connections were kept, want 1", open)
 	}
 }
+
+// Each connection that comes to nothing is counted for what it was.
+func TestConnectionsThatComeToNothing(t *testing.T) {
+	t.Parallel() // it takes the time for a header
+	ln := listenLoopback(t)
+	l := limitListener(ln, testLimits(4))
+	defer l.Close()
+	dialFrom(t, "127.0.0.1", ln.Addr().String())
+	dialFrom(t, "127.0.0.1", ln.Addr().String()).Close()
+	eventually(t, "both have ended", func() bool { return l.open() == 0 && func() bool { n, _ := l.counters(); return n.Accepted == 2 }() })
+	if n, _ := l.counters(); n.Silent != 1 || n.Vanished != 1 || n.Admitted != 2 {
+		t.Errorf("counted %+v, want one silent and one vanished", n)
+	}
+}
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 
@@ -284,7 +285,12 @@
 		err := c.awaitFirst()
 		l.mu.Lock()
 		if err != nil {
-			l.count.Silent++
+			switch {
+			case errors.Is(err, os.ErrDeadlineExceeded):
+				l.count.Silent++
+			case errors.Is(err, errVanished):
+				l.count.Vanished++
+			}
 			c.closeIdle()
 			l.end(c)
 			l.mu.Unlock()
--- /dev/null
+++ b/internal/sidecar/load_test.go
@@ -0,0 +1,207 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mothridge/internal/registry/registrytest"
+)
+
+// The load on client connections, for before and after: go test -run xxx -bench
+// Load ./internal/sidecar. Clients and the upstream are in the same process: what
+// they cost stands in both figures of a pair.
+
+const loadSockets = 4096
+
+// loaded runs a sidecar whose upstream answers when release is closed.
+func loaded(b *testing.B, release <-chan struct{}) (addr string) {
+	b.Helper()
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	ln := listenLoopback(b)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+					<-release
+					if _, err := io.WriteString(c, answer200("ok")); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	c := testConfig(b, options{sockets: loadSockets}, "127.0.0.1:1", registrytest.HostText("s-1", ln.Addr().String(), "up", 0))
+	c.Policy.Slots = loadSockets // walls are not what is measured
+	addr, _, _ = startSidecar(b, c)
+	return addr
+}
+
+func open() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
+// loadClient is a connection that asks and reads with as little as may be.
+type loadClient struct {
+	net.Conn
+	buf [512]byte
+}
+
+func newLoadClient(b *testing.B, addr string) *loadClient {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		b.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(time.Minute))
+	return &loadClient{Conn: c}
+}
+
+func (c *loadClient) send(n uint64) error {
+	_, err := c.Write(fmt.Appendf(c.buf[:0], "POST /api HTTP/1.1\r\nHost: x\r\nRequest-Id: %d\r\nRequest-Class: once\r\nTenant: acme\r\nRequest-Timeout: 4\r\nContent-Length: 0\r\n\r\n", n))
+	return err
+}
+
+func (c *loadClient) read() error {
+	for got := 0; ; {
+		n, err := c.Read(c.buf[got:])
+		if err != nil {
+			return err
+		}
+		if got += n; string(c.buf[got-2:got]) == "ok" { // the body that ends it
+			return nil
+		}
+	}
+}
+
+var loadIDs atomic.Uint64
+
+func (c *loadClient) ask() error {
+	if err := c.send(loadIDs.Add(1)); err != nil {
+		return err
+	}
+	return c.read()
+}
+
+// loadClients is how many clients at once, times GOMAXPROCS: a kept upstream
+// connection rests a moment between two requests, and one client alone would
+// measure that.
+const loadClients = 16
+
+// BenchmarkLoadRequest is a request on a kept connection.
+func BenchmarkLoadRequest(b *testing.B) {
+	addr := loaded(b, open())
+	b.ReportAllocs()
+	b.SetParallelism(loadClients)
+	b.RunParallel(func(pb *testing.PB) {
+		c := newLoadClient(b, addr)
+		defer c.Close()
+		for pb.Next() {
+			if err := c.ask(); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
+
+// BenchmarkLoadConnect is a connection with one request on it.
+func BenchmarkLoadConnect(b *testing.B) {
+	addr := loaded(b, open())
+	b.ReportAllocs()
+	b.SetParallelism(loadClients)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			c := newLoadClient(b, addr)
+			if err := c.ask(); err != nil {
+				b.Error(err)
+				return
+			}
+			c.Close()
+		}
+	})
+}
+
+// BenchmarkLoadMemory tells what a connection at rest holds: one that never said
+// a thing, one between requests, and one whose request is with an upstream.
+func BenchmarkLoadMemory(b *testing.B) {
+	const conns = 400
+	for _, kind := range []string{"silent", "idle", "busy"} {
+		b.Run(kind, func(b *testing.B) {
+			var bytes, fds float64
+			for range b.N {
+				release := make(chan struct{})
+				answers := (<-chan struct{})(release)
+				if kind != "busy" {
+					answers = open()
+				}
+				addr := loaded(b, answers)
+				first := newLoadClient(b, addr) // what every sidecar has
+				if kind == "idle" {
+					first.send(loadIDs.Add(1))
+					first.read()
+				}
+				memory, files := held(b)
+				clients := make([]*loadClient, conns)
+				for i := range clients {
+					clients[i] = newLoadClient(b, addr)
+					if kind == "silent" {
+						continue
+					}
+					if err := clients[i].send(loadIDs.Add(1)); err != nil {
+						b.Fatal(err)
+					}
+					if kind == "idle" {
+						if err := clients[i].read(); err != nil {
+							b.Fatal(err)
+						}
+					}
+				}
+				time.Sleep(100 * time.Millisecond) // what was sent is on its way; the figure is a mean and no verdict
+				nowMemory, nowFiles := held(b)
+				bytes += (nowMemory - memory) / conns
+				fds += (nowFiles - files) / conns
+				close(release)
+				for _, c := range append(clients, first) {
+					c.Close()
+				}
+			}
+			b.ReportMetric(bytes/float64(b.N), "B/conn")
+			b.ReportMetric(fds/float64(b.N), "fds/conn")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// held is what this process holds of heap and stacks, and of descriptors.
+func held(b *testing.B) (memory, files float64) {
+	runtime.GC()
+	runtime.GC() // the second lets go of what pools kept
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	names, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		b.Skip("descriptors cannot be counted here:", err)
+	}
+	return float64(m.HeapAlloc + m.StackInuse), float64(len(names))
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"mothridge/internal/registry/client"
 	"mothridge/internal/settings"
 	"mothridge/policy"
 )
@@ -53,7 +54,7 @@
 		ok    bool
 		load  policy.Load
 	}
-	listed     struct{ news listing }
+	listed     struct{ news client.Listing }
 	listFailed struct{}
 )
 
@@ -68,7 +69,7 @@
 // host is an upstream of the list.
 type host struct {
 	id      policy.ServerID
-	entry   entry
+	entry   client.Entry
 	peer    *peer
 	started time.Duration
 	probes  []*probe // in the order the module asked for them
@@ -318,7 +319,7 @@
 }
 
 // list takes news of the list over and passes them to the module.
-func (l *loop) list(kind policy.ListKind, news listing) {
+func (l *loop) list(kind policy.ListKind, news client.Listing) {
 	servers := make([]policy.Server, 0, len(news.Hosts))
 	named := make(map[string]bool, len(news.Hosts))
 	for _, e := range news.Hosts {
@@ -362,7 +363,7 @@
 
 // enter takes one entry of the list over. A word for its health that is not
 // known means nothing new, as draining does.
-func (l *loop) enter(e entry) (policy.Server, bool) {
+func (l *loop) enter(e client.Entry) (policy.Server, bool) {
 	if e.Host == "" {
 		return policy.Server{}, false
 	}
--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -14,13 +14,14 @@
 	"testing"
 	"time"
 
+	"mothridge/internal/registry/registrytest"
 	"mothridge/policy"
 )
 
 const patience = 10 * time.Second // how long a test waits for an event; it never has to in a good run
 
 // await takes the next value of a channel.
-func await[T any](t *testing.T, what string, c <-chan T) T {
+func await[T any](t testing.TB, what string, c <-chan T) T {
 	t.Helper()
 	select {
 	case v := <-c:
@@ -32,7 +33,7 @@
 }
 
 // listenLoopback opens a listener that ends with the test.
-func listenLoopback(t *testing.T) net.Listener {
+func listenLoopback(t testing.TB) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -67,7 +68,7 @@
 
 func always(text string) respond { return func(received) (string, bool) { return text, false } }
 
-func newUpstream(t *testing.T, do respond) *upstream {
+func newUpstream(t testing.TB, do respond) *upstream {
 	t.Helper()
 	ln := listenLoopback(t)
 	u := &upstream{
@@ -108,62 +109,6 @@
 	}
 }
 
-// registry is a fake discovery: the test writes the lines of each watch.
-type registry struct {
-	addr    string
-	watches chan *watch
-	whole   chan string // what the next call for the whole list gets
-	asked   chan string // the query of each call for the whole list
-}
-
-type watch struct {
-	from  string
-	lines chan string
-	ended chan struct{}
-}
-
-func newRegistry(t *testing.T) *registry {
-	t.Helper()
-	g := &registry{watches: make(chan *watch, 10), whole: make(chan string, 10), asked: make(chan string, 10)}
-	ln := listenLoopback(t)
-	g.addr = ln.Addr().String()
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != listPath {
-			http.NotFound(w, r)
-			return
-		}
-		if r.URL.Query().Get("watch") == "" {
-			g.asked <- r.URL.RawQuery
-			select {
-			case text := <-g.whole:
-				io.WriteString(w, text)
-			case <-r.Context().Done():
-			}
-			return
-		}
-		x := &watch{from: r.URL.Query().Get("from"), lines: make(chan string), ended: make(chan struct{})}
-		defer close(x.ended)
-		w.WriteHeader(http.StatusOK)
-		w.(http.Flusher).Flush()
-		g.watches <- x
-		for {
-			select {
-			case line, ok := <-x.lines:
-				if !ok {
-					return
-				}
-				io.WriteString(w, line+"\n")
-				w.(http.Flusher).Flush()
-			case <-r.Context().Done():
-				return
-			}
-		}
-	})}
-	go server.Serve(ln)
-	t.Cleanup(func() { server.Close() })
-	return g
-}
-
 // testSettings has one class of each effect and two tenants.
 const testSettings = `{"balancers":1,"caps":{"may_cancel":true,"probes":%v,"most_tries":3,"dial_timeout_ms":250,
 	"conn_idle_ms":30000,"max_retry_after_ms":1200,"a_later_key":[null,{"x":1}]},
@@ -181,7 +126,7 @@
 	sockets int
 }
 
-func testConfig(t *testing.T, o options, discovery string, hosts ...string) *Config {
+func testConfig(t testing.TB, o options, discovery string, hosts ...string) *Config {
 	t.Helper()
 	if o.aim == 0 {
 		o.aim = 4 * time.Second
@@ -195,7 +140,7 @@
 	}
 	known := ""
 	if len(hosts) > 0 {
-		known = `"known":` + listText(1, true, hosts...) + ","
+		known = `"known":` + registrytest.ListText(1, true, hosts...) + ","
 	}
 	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",%s
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"settings":%s}`,
@@ -207,24 +152,15 @@
 	return c
 }
 
-// hostText is an entry of a list.
-func hostText(name, dial, health string, born int64) string {
-	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"a","block":3,"health":%q,"share":1.0,"born_ms":%d}`, name, dial, health, born)
-}
-
-func listText(seq int, whole bool, hosts ...string) string {
-	return fmt.Sprintf(`{"seq":%d,"whole":%v,"hosts":[%s]}`, seq, whole, strings.Join(hosts, ","))
-}
-
 // startSidecar runs a sidecar until the test ends and returns its address and a
 // function that stops it as a planned restart does.
-func startSidecar(t *testing.T, c *Config) (addr string, stop func(), ended <-chan error) {
+func startSidecar(t testing.TB, c *Config) (addr string, stop func(), ended <-chan error) {
 	t.Helper()
 	return startReloadable(t, c, nil)
 }
 
 // startReloadable does the same for one that reads its configuration again.
-func startReloadable(t *testing.T, c *Config, reload <-chan os.Signal) (addr string, stop func(), ended <-chan error) {
+func startReloadable(t testing.TB, c *Config, reload <-chan os.Signal) (addr string, stop func(), ended <-chan error) {
 	t.Helper()
 	ln := listenLoopback(t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -253,7 +189,7 @@
 
 var methods = map[string]string{"read": "GET", "keyed": "POST", "once": "POST"}
 
-func (c call) request(t *testing.T, addr string) *http.Request {
+func (c call) request(t testing.TB, addr string) *http.Request {
 	t.Helper()
 	req, err := http.NewRequest(methods[c.class], "http://"+addr+"/api/a%2Fb?q=1&r=%20", strings.NewReader(c.body))
 	if err != nil {
@@ -288,7 +224,7 @@
 }
 
 // do sends a request over a connection of its own.
-func (c call) do(t *testing.T, addr string) result {
+func (c call) do(t testing.TB, addr string) result {
 	t.Helper()
 	return roundTrip(c.request(t, addr))
 }
@@ -306,7 +242,7 @@
 }
 
 // start sends a request in the background.
-func (c call) start(t *testing.T, addr string) <-chan result {
+func (c call) start(t testing.TB, addr string) <-chan result {
 	t.Helper()
 	req, out := c.request(t, addr), make(chan result, 1)
 	go func() { out <- roundTrip(req) }()
@@ -321,7 +257,7 @@
 }
 
 // valid says whether a text is JSON, so that a test's own list cannot be wrong by a slip.
-func valid(t *testing.T, text string) string {
+func valid(t testing.TB, text string) string {
 	t.Helper()
 	if !json.Valid([]byte(text)) {
 		t.Fatalf("not JSON: %s", text)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,8 +9,11 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
+
+	"mothridge/internal/registry/client"
 )
 
 const sweepEvery = time.Second
@@ -43,17 +46,21 @@
 		end()
 		loops.Wait()
 	}()
-	d := newDiscovery(c.Discovery, c.Known, func(news listing) { l.post(listed{news}) })
+	discovery := client.Options{
+		Addrs: c.discoveryAddrs(), Known: c.Known, Seed: c.Seed,
+		Deliver: func(news client.Listing) { l.post(listed{news}) },
+	}
 	if c.Policy.AskList {
-		d.asks, d.failed = l.asks, func() { l.post(listFailed{}) }
+		discovery.Asks, discovery.Failed = l.asks, func() { l.post(listFailed{}) }
 	}
+	d := client.NewWatcher(discovery)
 	limited := limitListener(ln, c.Connections.Clients)
 	defer limited.Close()
 	l.report = func() {
 		limited.report()
 		pool.report()
 	}
-	loops.Go(func() { d.follow(run) })
+	loops.Go(func() { d.Follow(run) })
 	loops.Go(func() { l.run(run) })
 	loops.Go(func() { sweep(run, pool) })
 
@@ -69,15 +76,15 @@
 		case <-stop.Done():
 			return shutDown(server, limited)
 		case <-reload:
-			was := c.Discovery
+			was := c.discoveryAddrs()
 			if err := c.reload(); err != nil {
 				slog.Error("configuration: the old one stays in force", "err", err)
 				continue
 			}
 			limited.setLimits(c.Connections.Clients)
 			pool.setLimits(c.Connections.Servers)
-			if c.Discovery != was {
-				d.move(c.Discovery)
+			if now := c.discoveryAddrs(); !slices.Equal(now, was) {
+				d.Move(now)
 			}
 		}
 	}
