Serve the list with a replicated registry of our own (internal/registry/server, cmd/registry)

Need: the list came from somebody else's service.

Change: replicas agree by hashicorp/raft with its BoltDB store; every log entry has a checksum, folders name their owner, and replicas of another group or history refuse each other.

--- /dev/null
+++ b/internal/registry/client/client.go
@@ -0,0 +1,265 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"mothridge/internal/registry"
+)
+
+const (
+	// callIn is for one call to one replica, an election's length included.
+	callIn = 5 * time.Second
+	// The pause between two rounds over all replicas, jittered.
+	firstPause = 50 * time.Millisecond
+	lastPause  = time.Second
+	maxAnswer  = 16 << 20
+	maxHops    = 3 // from one replica to the one that it says leads
+)
+
+// Error is a registry's plain refusal. It is final: the same call gets it again.
+type Error struct {
+	Status  int
+	Text    string
+	Version uint64 // what the entry or record is at, where the registry says so
+}
+
+func (e *Error) Error() string { return e.Text }
+
+// Is lets callers ask with errors.Is for the registry's own errors.
+func (e *Error) Is(target error) bool {
+	switch target {
+	case registry.ErrConflict, registry.ErrTaken:
+		return e.Status == http.StatusConflict
+	case registry.ErrUnknown:
+		return e.Status == http.StatusNotFound
+	case registry.ErrFull:
+		return e.Status == http.StatusInsufficientStorage
+	case registry.ErrBad:
+		return e.Status == http.StatusBadRequest || e.Status == http.StatusRequestEntityTooLarge
+	}
+	return false
+}
+
+// ErrUnreachable says that no replica could do what was asked in time. What was
+// written may have been done; every write can be sent again.
+var ErrUnreachable = errors.New("no replica of the registry answers")
+
+// Client reads and writes over all replicas of a registry: it goes to the one that
+// leads, and on to others while that is not to be had. It is safe for concurrent use.
+type Client struct {
+	http  *http.Client
+	addrs []string
+
+	mu   sync.Mutex
+	rng  *rand.Rand
+	last string // the replica that answered last
+}
+
+// New makes a Client for a registry at these addresses.
+func New(addrs []string, seed uint64) (*Client, error) {
+	if len(addrs) == 0 {
+		return nil, errors.New("no address of a registry")
+	}
+	for _, a := range addrs {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return nil, fmt.Errorf("registry address %q: %w", a, err)
+		}
+	}
+	c := &Client{addrs: addrs, rng: rand.New(rand.NewPCG(seed, 3))}
+	c.http = &http.Client{
+		Transport: &http.Transport{
+			DialContext:     (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext,
+			MaxConnsPerHost: 8, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
+		},
+		// Redirects are followed here: the client has to learn who leads.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return c, nil
+}
+
+// Close lets go of idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// order is in which order replicas are asked: the last that answered, then the
+// others from a random one on, so that callers spread over them.
+func (c *Client) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []string
+	if c.last != "" {
+		all = append(all, c.last)
+	}
+	for _, i := range c.rng.Perm(len(c.addrs)) {
+		if c.addrs[i] != c.last {
+			all = append(all, c.addrs[i])
+		}
+	}
+	return all
+}
+
+func (c *Client) spread(d time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return spread(c.rng, d)
+}
+
+// call makes one call, at one replica after the other until one does it or refuses
+// it for good, and round again until ctx ends.
+func (c *Client) call(ctx context.Context, method, path string, body, into any) error {
+	var text []byte
+	if body != nil {
+		var err error
+		if text, err = json.Marshal(body); err != nil {
+			return fmt.Errorf("registry: write request: %w", err)
+		}
+	}
+	var last error
+	for pause := firstPause; ; pause = min(2*pause, lastPause) {
+		for _, addr := range c.order() {
+			at, err := c.once(ctx, addr, method, path, text, into)
+			var refused *Error
+			if err == nil || errors.As(err, &refused) {
+				c.mu.Lock()
+				c.last = at
+				c.mu.Unlock()
+				return err
+			}
+			if ctx.Err() == nil || last == nil {
+				last = err
+			}
+		}
+		c.mu.Lock()
+		c.last = ""
+		c.mu.Unlock()
+		select {
+		case <-time.After(c.spread(pause)):
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %w", ErrUnreachable, last)
+		}
+	}
+}
+
+// once makes a call at one replica, or at the one it points to, and says which answered.
+func (c *Client) once(ctx context.Context, addr, method, path string, text []byte, into any) (at string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callIn)
+	defer cancel()
+	for range maxHops {
+		req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+registry.WritePath+path, bytes.NewReader(text))
+		if err != nil {
+			return addr, &Error{Status: http.StatusBadRequest, Text: err.Error()}
+		}
+		resp, err := c.http.Do(req)
+		if err != nil {
+			return addr, err
+		}
+		answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+		resp.Body.Close()
+		if err != nil {
+			return addr, err
+		}
+		switch {
+		case resp.StatusCode == http.StatusOK:
+			if into == nil {
+				return addr, nil
+			}
+			if err := json.Unmarshal(answer, into); err != nil {
+				return addr, fmt.Errorf("%s: answer: %w", addr, err)
+			}
+			return addr, nil
+		case resp.StatusCode == http.StatusTemporaryRedirect:
+			to, err := url.Parse(resp.Header.Get("Location"))
+			if err != nil || to.Host == "" {
+				return addr, fmt.Errorf("%s points nowhere", addr)
+			}
+			addr = to.Host
+			continue
+		}
+		var a registry.WriteAnswer
+		if json.Unmarshal(answer, &a) != nil || a.Error == "" {
+			a.Error = strings.TrimSpace(string(answer[:min(len(answer), 200)]))
+		}
+		if resp.StatusCode >= 500 && resp.StatusCode != http.StatusInsufficientStorage {
+			return addr, fmt.Errorf("%s: %d: %s", addr, resp.StatusCode, a.Error)
+		}
+		return addr, &Error{Status: resp.StatusCode, Text: a.Error, Version: a.Version}
+	}
+	return addr, fmt.Errorf("%s: sent from one replica to the other", addr)
+}
+
+// Register takes an instance in, or changes it.
+func (c *Client) Register(ctx context.Context, r registry.RegisterRequest) (registry.WriteAnswer, error) {
+	var a registry.WriteAnswer
+	err := c.call(ctx, http.MethodPut, "instances/"+url.PathEscape(r.Instance.Host), r, &a)
+	return a, err
+}
+
+// Renew keeps a session alive.
+func (c *Client) Renew(ctx context.Context, host, session string) error {
+	return c.call(ctx, http.MethodPost, "instances/"+url.PathEscape(host)+"/renew", registry.RenewRequest{Session: session}, nil)
+}
+
+// Remove takes an instance out; with a session, only while it is that session's.
+func (c *Client) Remove(ctx context.Context, host, session string) error {
+	return c.call(ctx, http.MethodDelete, "instances/"+url.PathEscape(host)+"?session="+url.QueryEscape(session), nil, nil)
+}
+
+// Mark marks hosts draining, or takes the marks back: all or none.
+func (c *Client) Mark(ctx context.Context, m registry.MarkRequest) (registry.WriteAnswer, error) {
+	var a registry.WriteAnswer
+	err := c.call(ctx, http.MethodPost, "marks", m, &a)
+	return a, err
+}
+
+// Entries returns all entries as of now, whoever led before.
+func (c *Client) Entries(ctx context.Context) (registry.EntriesAnswer, error) {
+	var a registry.EntriesAnswer
+	err := c.call(ctx, http.MethodGet, "instances?linearizable=1", nil, &a)
+	return a, err
+}
+
+// Record returns a record as of now.
+func (c *Client) Record(ctx context.Context, key string) (registry.Record, error) {
+	var r registry.Record
+	err := c.call(ctx, http.MethodGet, "records/"+url.PathEscape(key)+"?linearizable=1", nil, &r)
+	return r, err
+}
+
+// Records returns the keys of all records as of now.
+func (c *Client) Records(ctx context.Context) ([]string, error) {
+	var keys []string
+	err := c.call(ctx, http.MethodGet, "records?linearizable=1", nil, &keys)
+	return keys, err
+}
+
+// Put writes a record if it is at the version named, or whatever it is at where
+// that is nil, and returns the new version.
+func (c *Client) Put(ctx context.Context, key string, value []byte, ifVersion *uint64) (uint64, error) {
+	var a registry.WriteAnswer
+	err := c.call(ctx, http.MethodPut, "records/"+url.PathEscape(key), registry.PutRequest{Value: value, IfVersion: ifVersion}, &a)
+	return a.Version, err
+}
+
+// Drop deletes a record if it is at the version named.
+func (c *Client) Drop(ctx context.Context, key string, ifVersion uint64) error {
+	return c.call(ctx, http.MethodDelete, "records/"+url.PathEscape(key)+"?if_version="+strconv.FormatUint(ifVersion, 10), nil, nil)
+}
+
+// Status returns what one replica says of itself, the one that answers first.
+func (c *Client) Status(ctx context.Context) (registry.StatusAnswer, error) {
+	var s registry.StatusAnswer
+	err := c.call(ctx, http.MethodGet, "status", nil, &s)
+	return s, err
+}
--- /dev/null
+++ b/internal/registry/client/register.go
@@ -0,0 +1,72 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"mothridge/internal/registry"
+)
+
+const (
+	// renewals is how many fall into a time to live: two may be lost, or an
+	// election come between, before the session ends.
+	renewals = 4
+	// leaveIn is how long an instance that ends tries to say so.
+	leaveIn = 2 * time.Second
+)
+
+// Keep registers an instance and keeps it registered until ctx ends; then it takes
+// it out. It survives the loss of any replica, of the leader, and of all of them
+// for a while: the registry gives every session its full time after each. registered
+// is called after each time that the registry took the instance in. The error is a
+// plain refusal; everything else is tried again.
+func (c *Client) Keep(ctx context.Context, r registry.RegisterRequest, registered func(registry.WriteAnswer)) error {
+	ttl := time.Duration(r.TTLMS) * time.Millisecond
+	for {
+		a, err := c.Register(ctx, r)
+		if ctx.Err() != nil {
+			return c.leave(ctx, r)
+		}
+		if err != nil {
+			return err
+		}
+		if registered != nil {
+			registered(a)
+		}
+		if err := c.renew(ctx, r, ttl/renewals); errors.Is(err, registry.ErrUnknown) {
+			slog.Warn("registry: the session is gone, registering again", "host", r.Instance.Host)
+			continue
+		} else if ctx.Err() == nil {
+			return err
+		}
+		return c.leave(ctx, r)
+	}
+}
+
+// renew keeps the session alive until it cannot.
+func (c *Client) renew(ctx context.Context, r registry.RegisterRequest, every time.Duration) error {
+	for {
+		select {
+		case <-time.After(c.spread(every)):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err := c.Renew(ctx, r.Instance.Host, r.Session); err != nil {
+			return err
+		}
+	}
+}
+
+// leave takes the instance out, as good as it can in a short time: its session
+// ends by itself otherwise.
+func (c *Client) leave(ctx context.Context, r registry.RegisterRequest) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveIn)
+	defer cancel()
+	err := c.Remove(ctx, r.Instance.Host, r.Session)
+	if errors.Is(err, registry.ErrTaken) {
+		return nil // somebody else has it by now
+	}
+	return err
+}
--- a/internal/registry/instance.go
+++ b/internal/registry/instance.go
@@ -70,8 +70,8 @@
 	MaxVersion = 1<<53 - 1
 )
 
-// checkName says whether a text can stand in a path, a log line and a list.
-func checkName(what, name string) error {
+// CheckName says whether a text can stand in a path, a log line and a list.
+func CheckName(what, name string) error {
 	switch {
 	case name == "":
 		return fmt.Errorf("%s is missing", what)
@@ -86,7 +86,7 @@
 // Check returns an error that says in one line what is wrong with an instance
 // that is to be registered.
 func (i Instance) Check() error {
-	if err := checkName("host", i.Host); err != nil {
+	if err := CheckName("host", i.Host); err != nil {
 		return err
 	}
 	addr, err := netip.ParseAddrPort(i.Dial)
@@ -98,11 +98,11 @@
 	case addr.Port() == 0:
 		return fmt.Errorf("dial %s has no port", i.Dial)
 	}
-	if err := checkName("site", i.Site); err != nil {
+	if err := CheckName("site", i.Site); err != nil {
 		return err
 	}
 	if i.Class != "" {
-		if err := checkName("class", i.Class); err != nil {
+		if err := CheckName("class", i.Class); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/registry/server/config.go
@@ -0,0 +1,199 @@
+// Package server replicates the list of booking servers with Raft and serves it:
+// the protocol's list and watch, and the write interface.
+package server
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"mothridge/internal/registry"
+)
+
+// Config is what a replica is told.
+type Config struct {
+	Group    string            `json:"group"`
+	ID       string            `json:"id"`
+	Data     string            `json:"data"`     // the folder that holds its log
+	Replicas []registry.Member `json:"replicas"` // the group at its founding, this one among them
+	// Join says that this replica is added to a group that runs already: it founds
+	// none, and waits until an operator adds it.
+	Join     bool     `json:"join"`
+	Limits   Limits   `json:"limits"`
+	Sessions Sessions `json:"sessions"`
+	Timing   Timing   `json:"timing"`
+}
+
+// Limits bound what callers may take.
+type Limits struct {
+	Watches int `json:"watches"` // open at once
+	Calls   int `json:"calls"`   // under way at once, but for watches that are open
+	Waiting int `json:"waiting"` // that wait for their turn
+}
+
+// Sessions are the rules on instances that stop renewing.
+type Sessions struct {
+	Floor      float64 `json:"floor"`        // the part of the sessions that no silence removes
+	WithinMS   int64   `json:"within_ms"`    // of those there were in this time
+	LeastTTLMS int64   `json:"least_ttl_ms"` // what an instance may ask for
+	MostTTLMS  int64   `json:"most_ttl_ms"`
+}
+
+// Timing is how long replicas wait for each other.
+type Timing struct {
+	ElectionMS int64 `json:"election_ms"` // without a leader's word before a replica stands for election
+}
+
+const (
+	defaultWatches  = 1024 // several hundred sidecars, and as many again as they change over
+	defaultCalls    = 16
+	defaultWaiting  = 512
+	defaultFloor    = 0.5
+	defaultWithin   = time.Minute
+	defaultLeastTTL = 500 * time.Millisecond // as long as an election may begin late
+	defaultMostTTL  = time.Hour
+	defaultElection = 500 * time.Millisecond // on loopback a word takes under a millisecond
+	leastElection   = 50 * time.Millisecond
+	mostReplicas    = 7
+)
+
+// LoadConfig reads a replica's configuration file.
+func LoadConfig(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	c, err := ParseConfig(text)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// ParseConfig reads a configuration and fills in what it leaves out. An unknown
+// key is an error.
+func ParseConfig(text []byte) (*Config, error) {
+	c := &Config{
+		Limits: Limits{Watches: defaultWatches, Calls: defaultCalls, Waiting: defaultWaiting},
+		Sessions: Sessions{
+			Floor: defaultFloor, WithinMS: defaultWithin.Milliseconds(),
+			LeastTTLMS: defaultLeastTTL.Milliseconds(), MostTTLMS: defaultMostTTL.Milliseconds(),
+		},
+		Timing: Timing{ElectionMS: defaultElection.Milliseconds()},
+	}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(c); err != nil {
+		return nil, err
+	}
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Config) check() error {
+	if err := registry.CheckName("group", c.Group); err != nil {
+		return err
+	}
+	if err := registry.CheckName("id", c.ID); err != nil {
+		return err
+	}
+	if c.Data == "" {
+		return fmt.Errorf("data is missing: the folder for this replica's log")
+	}
+	if len(c.Replicas) == 0 || len(c.Replicas) > mostReplicas {
+		return fmt.Errorf("replicas: %d are named, 1 to %d may be", len(c.Replicas), mostReplicas)
+	}
+	if !c.Join && len(c.Replicas)%2 == 0 {
+		return fmt.Errorf("replicas: %d are named, an odd number is needed: an even one bears no more losses", len(c.Replicas))
+	}
+	seen := make(map[string]string)
+	for _, m := range c.Replicas {
+		if err := checkMember(m); err != nil {
+			return fmt.Errorf("replicas: %w", err)
+		}
+		for _, of := range []string{"id " + m.ID, "address " + m.HTTP, "address " + m.Raft} {
+			if other, ok := seen[of]; ok {
+				return fmt.Errorf("replicas: %s belongs to %s and to %s", of, other, m.ID)
+			}
+			seen[of] = m.ID
+		}
+	}
+	if _, ok := c.self(); !ok {
+		return fmt.Errorf("replicas: none has the id %q of this one", c.ID)
+	}
+	for _, f := range []struct {
+		name        string
+		value       int64
+		least, most int64
+	}{
+		{"limits.watches", int64(c.Limits.Watches), 1, 1 << 20},
+		{"limits.calls", int64(c.Limits.Calls), 1, 1 << 12},
+		{"limits.waiting", int64(c.Limits.Waiting), 0, 1 << 16},
+		{"sessions.within_ms", c.Sessions.WithinMS, 1, time.Hour.Milliseconds()},
+		{"sessions.most_ttl_ms", c.Sessions.MostTTLMS, 1, (24 * time.Hour).Milliseconds()},
+		{"sessions.least_ttl_ms", c.Sessions.LeastTTLMS, 1, c.Sessions.MostTTLMS},
+		{"timing.election_ms", c.Timing.ElectionMS, leastElection.Milliseconds(), time.Minute.Milliseconds()},
+	} {
+		if f.value < f.least || f.value > f.most {
+			return fmt.Errorf("%s is %d, it must lie between %d and %d", f.name, f.value, f.least, f.most)
+		}
+	}
+	if !(c.Sessions.Floor >= 0 && c.Sessions.Floor <= 1) {
+		return fmt.Errorf("sessions.floor is %v, a part between 0 and 1 is needed", c.Sessions.Floor)
+	}
+	return nil
+}
+
+func checkMember(m registry.Member) error {
+	if err := registry.CheckName("id", m.ID); err != nil {
+		return err
+	}
+	for _, f := range [][2]string{{"http", m.HTTP}, {"raft", m.Raft}} {
+		a, err := netip.ParseAddrPort(f[1])
+		switch {
+		case err != nil:
+			return fmt.Errorf("%s: %s %.64q is not an address with a port", m.ID, f[0], f[1])
+		case !a.Addr().Unmap().IsLoopback():
+			return fmt.Errorf("%s: %s %s is not a loopback address", m.ID, f[0], f[1])
+		}
+	}
+	return nil
+}
+
+// Self is this replica, with its addresses.
+func (c *Config) Self() registry.Member {
+	m, _ := c.self()
+	return m
+}
+
+// self is this replica among those named.
+func (c *Config) self() (registry.Member, bool) {
+	i := slices.IndexFunc(c.Replicas, func(m registry.Member) bool { return m.ID == c.ID })
+	if i < 0 {
+		return registry.Member{}, false
+	}
+	return c.Replicas[i], true
+}
+
+// reloaded takes over from a fresh configuration what may change under way, and
+// says so where something else has changed.
+func (c *Config) reloaded(fresh *Config) (*Config, error) {
+	next := *c
+	next.Limits, next.Sessions = fresh.Limits, fresh.Sessions
+	a, errA := json.Marshal(next)
+	b, errB := json.Marshal(fresh)
+	if errA != nil || errB != nil || !bytes.Equal(a, b) {
+		return nil, fmt.Errorf("only limits and sessions may change while a replica runs")
+	}
+	return &next, nil
+}
+
+func (c *Config) election() time.Duration {
+	return time.Duration(c.Timing.ElectionMS) * time.Millisecond
+}
--- /dev/null
+++ b/internal/registry/server/disk.go
@@ -0,0 +1,208 @@
+package server
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"time"
+
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	bolt "go.etcd.io/bbolt"
+)
+
+const (
+	identityFile = "replica.json"
+	logFile      = "raft.db"
+	lockWait     = time.Second // for another process to let go of the log
+	snapshots    = 2           // kept: one may prove spoilt
+)
+
+// identity says whose folder it is.
+type identity struct {
+	Form  int    `json:"form"`
+	Group string `json:"group"`
+	ID    string `json:"id"`
+}
+
+// disk is a replica's folder.
+type disk struct {
+	logs  *checkedLog
+	bolt  *raftboltdb.BoltStore
+	snaps raft.SnapshotStore
+	fresh bool // nothing was there yet
+}
+
+// openDisk opens the folder, and refuses one that is not this replica's or that
+// cannot be read whole: what was acknowledged must not be lost in silence.
+func openDisk(c *Config, log *raftLog) (*disk, error) {
+	if err := os.MkdirAll(c.Data, 0o700); err != nil {
+		return nil, fmt.Errorf("data folder: %w", err)
+	}
+	fresh, err := identify(c)
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(c.Data, logFile)
+	if !fresh {
+		if err := examine(path); err != nil {
+			return nil, err
+		}
+	}
+	store, err := raftboltdb.New(raftboltdb.Options{Path: path, BoltOptions: &bolt.Options{Timeout: lockWait}})
+	if errors.Is(err, bolt.ErrTimeout) {
+		return nil, fmt.Errorf("log %s: in use by another process", path)
+	} else if err != nil {
+		return nil, fmt.Errorf("log %s: %w", path, err)
+	}
+	d := &disk{bolt: store, logs: &checkedLog{store}, fresh: fresh}
+	if err := d.logs.verify(); err != nil {
+		store.Close()
+		return nil, fmt.Errorf("log %s: %w", path, err)
+	}
+	if d.snaps, err = raft.NewFileSnapshotStoreWithLogger(c.Data, snapshots, log); err != nil {
+		store.Close()
+		return nil, fmt.Errorf("snapshots in %s: %w", c.Data, err)
+	}
+	return d, nil
+}
+
+// identify checks whose folder it is, and makes an empty one this replica's.
+func identify(c *Config) (fresh bool, err error) {
+	path := filepath.Join(c.Data, identityFile)
+	want := identity{1, c.Group, c.ID}
+	text, err := os.ReadFile(path)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		names, err := os.ReadDir(c.Data)
+		if err != nil {
+			return false, fmt.Errorf("data folder: %w", err)
+		}
+		if len(names) > 0 {
+			return false, fmt.Errorf("data folder %s: it holds %s but no %s: it is not a replica's", c.Data, names[0].Name(), identityFile)
+		}
+		return true, writeIdentity(path, want)
+	case err != nil:
+		return false, fmt.Errorf("data folder: %w", err)
+	}
+	var got identity
+	if err := json.Unmarshal(text, &got); err != nil {
+		return false, fmt.Errorf("%s: %w", path, err)
+	}
+	if got != want {
+		return false, fmt.Errorf("data folder %s: it belongs to replica %q of group %q, this is %q of %q", c.Data, got.ID, got.Group, want.ID, want.Group)
+	}
+	_, err = os.Stat(filepath.Join(c.Data, logFile))
+	return errors.Is(err, fs.ErrNotExist), nil
+}
+
+// writeIdentity writes the file whole or not at all.
+func writeIdentity(path string, i identity) error {
+	text, err := json.Marshal(i)
+	if err != nil {
+		return err
+	}
+	f, err := os.CreateTemp(filepath.Dir(path), "."+identityFile)
+	if err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	_, err = f.Write(text)
+	if err = errors.Join(err, f.Sync(), f.Close()); err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		os.Remove(f.Name())
+		return fmt.Errorf("data folder: %w", err)
+	}
+	return nil
+}
+
+// examine reads the log's file through before it is used: a file that was cut or
+// overwritten would end the process in the middle of its work.
+func examine(path string) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true)) // a file that is too short faults where it is mapped
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("log %s: spoilt: %v", path, p)
+		}
+	}()
+	db, err := bolt.Open(path, 0o600, &bolt.Options{ReadOnly: true, Timeout: lockWait})
+	if errors.Is(err, bolt.ErrTimeout) {
+		return fmt.Errorf("log %s: in use by another process", path)
+	} else if err != nil {
+		return fmt.Errorf("log %s: spoilt: %w", path, err)
+	}
+	defer db.Close()
+	return db.View(func(tx *bolt.Tx) error {
+		if info, err := os.Stat(path); err != nil || info.Size() < tx.Size() {
+			return fmt.Errorf("log %s: cut short: error %v", path, err)
+		}
+		return tx.ForEach(func(name []byte, b *bolt.Bucket) error {
+			return b.ForEach(func(k, v []byte) error { return nil })
+		})
+	})
+}
+
+// checkedLog keeps a checksum with each entry of the log, which the file has none of.
+type checkedLog struct{ *raftboltdb.BoltStore }
+
+const checksum = 4 // bytes
+
+func sum(l *raft.Log, data []byte) uint32 {
+	var head [17]byte
+	binary.BigEndian.PutUint64(head[:], l.Index)
+	binary.BigEndian.PutUint64(head[8:], l.Term)
+	head[16] = byte(l.Type)
+	return crc32.Update(crc32.ChecksumIEEE(head[:]), crc32.IEEETable, data)
+}
+
+// StoreLog writes one entry.
+func (c *checkedLog) StoreLog(l *raft.Log) error { return c.StoreLogs([]*raft.Log{l}) }
+
+// StoreLogs writes entries, each with its checksum.
+func (c *checkedLog) StoreLogs(logs []*raft.Log) error {
+	checked := make([]*raft.Log, len(logs))
+	for i, l := range logs {
+		copied := *l
+		copied.Data = binary.BigEndian.AppendUint32(append(make([]byte, 0, len(l.Data)+checksum), l.Data...), sum(l, l.Data))
+		checked[i] = &copied
+	}
+	return c.BoltStore.StoreLogs(checked)
+}
+
+// GetLog reads an entry, and fails where it is not what was written.
+func (c *checkedLog) GetLog(index uint64, l *raft.Log) error {
+	if err := c.BoltStore.GetLog(index, l); err != nil {
+		return err
+	}
+	n := len(l.Data) - checksum
+	if n < 0 || l.Index != index || sum(l, l.Data[:n]) != binary.BigEndian.Uint32(l.Data[n:]) {
+		return fmt.Errorf("entry %d is spoilt", index)
+	}
+	l.Data = l.Data[:n]
+	return nil
+}
+
+// verify reads every entry.
+func (c *checkedLog) verify() error {
+	first, err := c.FirstIndex()
+	if err != nil {
+		return err
+	}
+	last, err := c.LastIndex()
+	if err != nil {
+		return err
+	}
+	for i := first; i != 0 && i <= last; i++ {
+		if err := c.GetLog(i, new(raft.Log)); err != nil {
+			return fmt.Errorf("entry %d of %d to %d: %w", i, first, last, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/registry/server/load_test.go
@@ -0,0 +1,144 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"mothridge/internal/registry"
+)
+
+const (
+	loadWatchers  = 300
+	loadInstances = 200
+)
+
+// loadedGroup is a group of one with a list of loadInstances. Watchers are raw
+// connections in this process: what they cost stands in the figures.
+func loadedGroup(b *testing.B) *group {
+	b.Helper()
+	g := startGroup(b, 1)
+	c := g.client()
+	for i := range loadInstances {
+		if _, err := c.Register(within(b), registry.RegisterRequest{Instance: instance(fmt.Sprint("s-", i), 1)}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return g
+}
+
+// watchRaw opens a watch and calls took for each line.
+func watchRaw(b *testing.B, addr string, from uint64, took func()) (end func()) {
+	b.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		b.Fatal(err)
+	}
+	fmt.Fprintf(c, "GET %s?watch=1&from=%d HTTP/1.1\r\nHost: x\r\n\r\n", registry.ListPath, from)
+	in := bufio.NewReaderSize(c, 1<<10)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var done sync.WaitGroup
+	done.Go(func() {
+		lines := bufio.NewReaderSize(resp.Body, 1<<10)
+		for {
+			line, err := lines.ReadSlice('\n')
+			if err != nil && err != bufio.ErrBufferFull {
+				return
+			}
+			if err == nil && len(line) > 1 {
+				took()
+			}
+		}
+	})
+	return func() {
+		c.Close()
+		done.Wait()
+	}
+}
+
+func cpu(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkWatchers tells what a change costs that goes to all watchers, and what
+// a watcher holds at rest.
+func BenchmarkWatchers(b *testing.B) {
+	g := loadedGroup(b)
+	n, c := g.nodes[0], g.client()
+	memory := func() float64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc + m.StackInuse)
+	}
+	before := memory()
+	lines := make(chan struct{}, loadWatchers)
+	for range loadWatchers {
+		defer watchRaw(b, n.member.HTTP, n.machine.seq(), func() { lines <- struct{}{} })()
+	}
+	for range loadWatchers { // the first line says that nothing has changed
+		<-lines
+	}
+	perWatcher := (memory() - before) / loadWatchers
+	bytes, frames, used := n.hub.bytes.Load(), n.hub.frames.Load(), cpu(b)
+	b.ResetTimer()
+	i := int64(1)
+	for b.Loop() {
+		i++
+		if _, err := c.Register(context.Background(), registry.RegisterRequest{Instance: instance("s-1", i)}); err != nil {
+			b.Fatal(err)
+		}
+		for range loadWatchers {
+			<-lines
+		}
+	}
+	changes := float64(n.hub.frames.Load() - frames)
+	b.ReportMetric(perWatcher, "B/watcher")
+	b.ReportMetric(float64(n.hub.bytes.Load()-bytes)/changes, "B/change")
+	b.ReportMetric(float64(cpu(b)-used)/changes/1e3, "cpu-µs/change")
+}
+
+// BenchmarkNewLeader tells how long a group of three is without a leader when its
+// leader ends without a word, in election time-outs.
+func BenchmarkNewLeader(b *testing.B) {
+	var gap time.Duration
+	rounds := 0
+	for b.Loop() {
+		b.StopTimer()
+		g := startGroup(b, 3)
+		c := g.client()
+		leader := g.leader()
+		b.StartTimer()
+		begin := time.Now()
+		var stopped sync.WaitGroup
+		stopped.Go(leader.stop) // its own end takes longer than the others' election
+		if _, err := c.Register(within(b), registry.RegisterRequest{Instance: instance("s-1", 1)}); err != nil {
+			b.Fatal(err)
+		}
+		gap += time.Since(begin)
+		rounds++
+		b.StopTimer()
+		stopped.Wait()
+		for _, n := range g.nodes {
+			n.stop()
+		}
+		b.StartTimer()
+	}
+	b.ReportMetric(float64(gap)/float64(rounds)/float64(200*time.Millisecond), "elections")
+}
--- /dev/null
+++ b/internal/registry/server/replica.go
@@ -0,0 +1,494 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"mothridge/internal/registry"
+)
+
+const (
+	// writeIn is how long a write may take to reach a quorum's disks.
+	writeIn = 5 * time.Second
+	// staleElections is after how many election time-outs without a leader's word a
+	// replica says that what it tells may be stale.
+	staleElections = 3
+	// sessionTick is how often the leader looks for sessions that have ended: a
+	// part of the shortest time to live.
+	sessionTick = 100 * time.Millisecond
+	// memberKey begins the records that name replicas added later.
+	memberKey = "member:"
+
+	raftPool     = 3 // connections kept to each replica
+	raftTimeout  = 2 * time.Second
+	leaderCallIn = time.Second
+	catchUpEvery = 50 * time.Millisecond
+)
+
+// Replica is one replica of the registry.
+type Replica struct {
+	self    registry.Member
+	config  atomic.Pointer[Config]
+	machine *machine
+	hub     *hub
+	turn    *turn
+	disk    *disk
+	raft    *raft.Raft
+	trans   *raft.NetworkTransport
+	http    *http.Client
+
+	life  context.Context
+	end   context.CancelFunc
+	tasks sync.WaitGroup
+
+	ready   atomic.Bool // it has caught up with the group once since its start
+	watches atomic.Int64
+	refused atomic.Uint64 // calls told to come back
+	writes  atomic.Uint64
+	expired atomic.Uint64 // instances removed for their silence
+
+	mu       sync.Mutex
+	sessions *registry.Sessions // while it leads
+	held     bool               // expiry is held back
+}
+
+// Open starts a replica on the listener given for other replicas, which it takes over.
+func Open(c *Config, peers net.Listener) (*Replica, error) {
+	self := c.Self()
+	logger := newRaftLog()
+	d, err := openDisk(c, logger)
+	if err != nil {
+		peers.Close()
+		return nil, err
+	}
+	h := newHub()
+	r := &Replica{self: self, hub: h, machine: newMachine(h), turn: &turn{limits: c.Limits}, disk: d}
+	r.http = &http.Client{Timeout: leaderCallIn, Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}}
+	r.config.Store(c)
+	r.life, r.end = context.WithCancel(context.Background())
+	if err := r.start(c, peers, logger); err != nil {
+		r.end()
+		peers.Close()
+		d.bolt.Close()
+		return nil, err
+	}
+	r.tasks.Go(r.follow)
+	r.tasks.Go(r.catchUp)
+	r.tasks.Go(r.mind)
+	return r, nil
+}
+
+func (r *Replica) start(c *Config, peers net.Listener, logger *raftLog) error {
+	rc := raft.DefaultConfig()
+	rc.LocalID = raft.ServerID(c.ID)
+	rc.HeartbeatTimeout, rc.ElectionTimeout, rc.LeaderLeaseTimeout = c.election(), c.election(), c.election()/2
+	rc.CommitTimeout = min(rc.CommitTimeout, c.election()/4)
+	rc.SnapshotInterval, rc.SnapshotThreshold, rc.TrailingLogs = 30*time.Second, 4096, 4096
+	rc.Logger = logger
+	rc.NoLegacyTelemetry = true
+	if err := raft.ValidateConfig(rc); err != nil {
+		return fmt.Errorf("timing: %w", err)
+	}
+	layer := newLayer(peers, func() (group string, founded uint64) {
+		r.machine.read(func(s *registry.State) { founded = s.Founded() })
+		return c.Group, founded
+	})
+	r.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
+		Stream: layer, MaxPool: raftPool, Timeout: raftTimeout, Logger: logger,
+	})
+	if r.disk.fresh && !c.Join {
+		var group raft.Configuration
+		for _, m := range c.Replicas {
+			group.Servers = append(group.Servers, raft.Server{ID: raft.ServerID(m.ID), Address: raft.ServerAddress(m.Raft)})
+		}
+		if err := raft.BootstrapCluster(rc, r.disk.logs, r.disk.bolt, r.disk.snaps, r.trans, group); err != nil {
+			r.trans.Close()
+			return fmt.Errorf("found the group: %w", err)
+		}
+	}
+	var err error
+	if r.raft, err = raft.NewRaft(rc, r.machine, r.disk.logs, r.disk.bolt, r.disk.snaps, r.trans); err != nil {
+		r.trans.Close()
+		return fmt.Errorf("start on %s: %w", c.Data, err)
+	}
+	return nil
+}
+
+// Leave hands leadership over and ends the watches; calls are answered still.
+func (r *Replica) Leave() {
+	if r.raft.State() == raft.Leader && len(r.voters()) > 1 {
+		if err := r.raft.LeadershipTransfer().Error(); err != nil {
+			slog.Warn("leadership was not handed over", "err", err)
+		}
+	}
+	r.hub.close()
+}
+
+// Close stops the replica.
+func (r *Replica) Close() error {
+	r.hub.close()
+	r.end()
+	err := r.raft.Shutdown().Error()
+	r.tasks.Wait()
+	r.http.CloseIdleConnections()
+	return errors.Join(err, r.trans.Close(), r.disk.bolt.Close())
+}
+
+// follow leads while this replica is the leader.
+func (r *Replica) follow() {
+	var leading sync.WaitGroup
+	stop := func() {}
+	defer func() {
+		stop()
+		leading.Wait()
+	}()
+	for {
+		select {
+		case leads := <-r.raft.LeaderCh():
+			stop()
+			leading.Wait()
+			if stop = func() {}; leads {
+				ctx, cancel := context.WithCancel(r.life)
+				stop = cancel
+				leading.Go(func() { r.lead(ctx) })
+			}
+		case <-r.life.Done():
+			return
+		}
+	}
+}
+
+// lead founds the group if nobody has, and removes instances whose sessions end.
+// Each session has its full time from now on, whatever the last leader knew.
+func (r *Replica) lead(ctx context.Context) {
+	if err := r.raft.Barrier(writeIn).Error(); err != nil {
+		return // no leader any more
+	}
+	if _, err := r.apply(registry.Command{Op: registry.Found, Group: r.config.Load().Group}); err != nil {
+		slog.Error("the group cannot be founded", "err", err)
+		return
+	}
+	rules := r.config.Load().Sessions
+	sessions := registry.NewSessions(rules.Floor, time.Duration(rules.WithinMS)*time.Millisecond)
+	r.mu.Lock()
+	r.sessions = sessions
+	r.followSessions(time.Now())
+	live := sessions.Live()
+	r.mu.Unlock()
+	slog.Info("leading", "term", r.raft.CurrentTerm(), "sessions", live, "seq", r.machine.seq())
+	defer func() {
+		r.mu.Lock()
+		r.sessions, r.held = nil, false
+		r.mu.Unlock()
+		slog.Info("leading no more")
+	}()
+	tick := time.NewTicker(sessionTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			r.expire(now)
+		}
+	}
+}
+
+// followSessions lets the sessions be those of the state. The lock is held.
+func (r *Replica) followSessions(now time.Time) {
+	var entries []registry.Entry
+	r.machine.read(func(s *registry.State) { entries = s.Entries() })
+	r.sessions.Follow(entries, now)
+}
+
+// expire removes the instances whose sessions have ended, unless too many have at once.
+func (r *Replica) expire(now time.Time) {
+	r.mu.Lock()
+	if rules := r.config.Load().Sessions; r.sessions.SetFloor(rules.Floor) {
+		slog.Info("sessions: another floor", "floor", rules.Floor)
+	}
+	r.followSessions(now)
+	ended, held, changed := r.sessions.Due(now)
+	r.held = held
+	live := r.sessions.Live()
+	r.mu.Unlock()
+	if changed && held {
+		slog.Warn("sessions: too many have ended at once: none is removed until they renew or are removed by hand", "of", live)
+	} else if changed {
+		slog.Info("sessions: removals go on")
+	}
+	if len(ended) == 0 {
+		return
+	}
+	if _, err := r.apply(registry.Command{Op: registry.Expire, Ended: ended}); err != nil {
+		slog.Warn("sessions: not removed", "err", err)
+		return
+	}
+	r.expired.Add(uint64(len(ended)))
+	hosts := make([]string, len(ended))
+	for i, e := range ended {
+		hosts[i] = e.Host
+	}
+	slog.Info("sessions: removed for their silence", "hosts", hosts)
+}
+
+// renew notes a sign of life. Only a leader may, and one is a leader no longer
+// than its lease: a replica that was cut off takes no word for another's.
+func (r *Replica) renew(host, session string, now time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.sessions == nil || r.raft.State() != raft.Leader {
+		return raft.ErrNotLeader
+	}
+	var entry registry.Entry
+	r.machine.read(func(s *registry.State) { entry, _ = s.Entry(host) })
+	if session == "" || entry.Session != session { // the state may be ahead of what is followed
+		return fmt.Errorf("%w: host %.64s has no such session: register again", registry.ErrUnknown, host)
+	}
+	if !r.sessions.Renew(host, session, now) {
+		r.followSessions(now) // it was registered a moment ago, and has its full time
+	}
+	return nil
+}
+
+// apply has a command carried out by the group. When it returns without an error,
+// a quorum has it on disk.
+func (r *Replica) apply(c registry.Command) (registry.Result, error) {
+	c.AtMS = time.Now().UnixMilli()
+	text, err := json.Marshal(c)
+	if err != nil {
+		return registry.Result{}, fmt.Errorf("write command: %w", err)
+	}
+	f := r.raft.Apply(text, writeIn)
+	if err := f.Error(); err != nil {
+		return registry.Result{}, err
+	}
+	r.writes.Add(1)
+	result, ok := f.Response().(registry.Result)
+	if !ok {
+		return registry.Result{}, fmt.Errorf("command %s: answered with %T", c.Op, f.Response())
+	}
+	return result, result.Err
+}
+
+// freshness says how fresh what this replica tells is, for the header.
+func (r *Replica) freshness(now time.Time) (word string, age time.Duration) {
+	if r.raft.State() == raft.Leader {
+		return registry.ReadCurrent, 0
+	}
+	last := r.raft.LastContact()
+	if last.IsZero() {
+		return registry.ReadStale, 0
+	}
+	age = now.Sub(last)
+	if leader, _ := r.raft.LeaderWithID(); leader == "" || age > staleElections*r.config.Load().election() {
+		return registry.ReadStale, age
+	}
+	return registry.ReadCurrent, age
+}
+
+// linearize makes sure that this replica leads and has applied all that any
+// replica has acknowledged.
+func (r *Replica) linearize() error {
+	r.mu.Lock()
+	leads := r.sessions != nil // and so has applied what its predecessors committed
+	r.mu.Unlock()
+	if !leads {
+		return raft.ErrNotLeader
+	}
+	commit := r.raft.CommitIndex()
+	if err := r.raft.VerifyLeader().Error(); err != nil {
+		return err
+	}
+	for deadline := time.Now().Add(writeIn); r.raft.AppliedIndex() < commit; {
+		if time.Now().After(deadline) {
+			return errors.New("the log is applied too slowly")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
+
+// catchUp makes the replica ready once it holds what the group held when it
+// came: before, it would tell watchers of a list that they have left behind.
+func (r *Replica) catchUp() {
+	for r.life.Err() == nil {
+		if seq, err := r.leaderSeq(); err == nil && seq > 0 && r.machine.seq() >= seq {
+			r.ready.Store(true)
+			slog.Info("ready", "seq", r.machine.seq())
+			return
+		}
+		select {
+		case <-time.After(catchUpEvery/2 + rand.N(catchUpEvery)):
+		case <-r.life.Done():
+		}
+	}
+}
+
+// leaderSeq asks the leader for the list's version.
+func (r *Replica) leaderSeq() (uint64, error) {
+	_, id := r.raft.LeaderWithID()
+	if string(id) == r.self.ID {
+		if err := r.linearize(); err != nil {
+			return 0, err
+		}
+		return r.machine.seq(), nil
+	}
+	leader, ok := r.member(string(id))
+	if !ok {
+		return 0, errNoLeader
+	}
+	req, err := http.NewRequestWithContext(r.life, http.MethodGet, "http://"+leader.HTTP+registry.WritePath+"status?linearizable=1", nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := r.http.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	var status registry.StatusAnswer
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("the leader answers %d", resp.StatusCode)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&status); err != nil {
+		return 0, err
+	}
+	return status.Seq, nil
+}
+
+var errNoLeader = errors.New("no leader is known: this replica has no contact with a quorum")
+
+// mind ends the watches when this replica becomes stale: those that can follow
+// another replica do, and the others come back and are told that it is.
+func (r *Replica) mind() {
+	tick := time.NewTicker(r.config.Load().election() / 2)
+	defer tick.Stop()
+	was := registry.ReadCurrent
+	for {
+		select {
+		case <-r.life.Done():
+			return
+		case now := <-tick.C:
+			word, age := r.freshness(now)
+			if word != was && word == registry.ReadStale && r.ready.Load() {
+				slog.Warn("no leader is heard of: the list goes on as stale", "age", age)
+				r.hub.endWatches()
+			} else if word != was && word == registry.ReadCurrent {
+				slog.Info("a leader is heard of again")
+			}
+			was = word
+		}
+	}
+}
+
+// voters are the replicas that count for a quorum.
+func (r *Replica) voters() []raft.Server {
+	f := r.raft.GetConfiguration()
+	if f.Error() != nil {
+		return nil
+	}
+	return f.Configuration().Servers
+}
+
+// member finds a replica by its id: one of the founding ones, or one added since.
+func (r *Replica) member(id string) (registry.Member, bool) {
+	var m registry.Member
+	added := false
+	r.machine.read(func(s *registry.State) {
+		if rec, ok := s.Record(memberKey + id); ok {
+			added = json.Unmarshal(rec.Value, &m) == nil
+		}
+	})
+	if added {
+		return m, true
+	}
+	all := r.config.Load().Replicas
+	if i := slices.IndexFunc(all, func(m registry.Member) bool { return m.ID == id }); i >= 0 {
+		return all[i], true
+	}
+	return registry.Member{}, false
+}
+
+// leader is the replica that leads, if one is known.
+func (r *Replica) leader() (registry.Member, bool) {
+	_, id := r.raft.LeaderWithID()
+	if id == "" {
+		return registry.Member{}, false
+	}
+	return r.member(string(id))
+}
+
+// add takes a replica into the group.
+func (r *Replica) add(m registry.Member) error {
+	text, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	if _, err := r.apply(registry.Command{Op: registry.Put, Key: memberKey + m.ID, Value: text}); err != nil {
+		return err
+	}
+	return r.raft.AddVoter(raft.ServerID(m.ID), raft.ServerAddress(m.Raft), 0, writeIn).Error()
+}
+
+// drop takes a replica out of the group.
+func (r *Replica) drop(id string) error {
+	if !slices.ContainsFunc(r.voters(), func(s raft.Server) bool { return string(s.ID) == id }) {
+		return fmt.Errorf("%w: no replica %.64s in the group", registry.ErrUnknown, id)
+	}
+	if err := r.raft.RemoveServer(raft.ServerID(id), 0, writeIn).Error(); err != nil {
+		return err
+	}
+	_, err := r.apply(registry.Command{Op: registry.Drop, Key: memberKey + id})
+	return err
+}
+
+// Reload puts other limits and rules on sessions in force.
+func (r *Replica) Reload(fresh *Config) error {
+	next, err := r.config.Load().reloaded(fresh)
+	if err != nil {
+		return err
+	}
+	r.config.Store(next)
+	r.turn.setLimits(next.Limits)
+	return nil
+}
+
+// Status tells how the replica stands.
+func (r *Replica) Status() registry.StatusAnswer {
+	word, _ := r.freshness(time.Now())
+	s := registry.StatusAnswer{
+		ID: r.self.ID, State: strings.ToLower(r.raft.State().String()), Read: word, Ready: r.ready.Load(),
+		Term: r.raft.CurrentTerm(), Applied: r.raft.AppliedIndex(), Watches: int(r.watches.Load()),
+	}
+	if m, ok := r.leader(); ok {
+		s.Leader = m.ID
+	}
+	r.machine.read(func(st *registry.State) { s.Group, s.Seq = st.Group(), st.Seq() })
+	for _, v := range r.voters() {
+		m, ok := r.member(string(v.ID))
+		if !ok {
+			m = registry.Member{ID: string(v.ID), Raft: string(v.Address)}
+		}
+		s.Members = append(s.Members, m)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.Held = r.held; r.sessions != nil {
+		s.Sessions = r.sessions.Live()
+	}
+	return s
+}
--- a/internal/registry/sessions.go
+++ b/internal/registry/sessions.go
@@ -35,6 +35,13 @@
 	return &Sessions{floor: floor, within: within, last: make(map[string]heard)}
 }
 
+// SetFloor puts another floor in force, and says whether it is another.
+func (s *Sessions) SetFloor(floor float64) bool {
+	changed := floor != s.floor
+	s.floor = floor
+	return changed
+}
+
 // Follow takes the entries of the state over. What is new, or has another session
 // or time to live, has its full time from now on; what has left is forgotten.
 func (s *Sessions) Follow(entries []Entry, now time.Time) {
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -21,6 +21,7 @@
 	Expire   Op = "expire"   // takes instances out whose sessions have ended
 	Put      Op = "put"      // writes a record
 	Drop     Op = "drop"     // deletes a record
+	Restore  Op = "restore"  // puts a backup's contents in place of all there is
 )
 
 // Command is one change that all replicas apply in the same order.
@@ -46,6 +47,7 @@
 	MustMark []string  `json:"hosts,omitempty"`     // of Mark: all of them or none
 	Record   string    `json:"record,omitempty"`    // of Mark: only while this record
 	RecordAt uint64    `json:"record_at,omitempty"` // has this version
+	Backup   []byte    `json:"backup,omitempty"`    // of Restore: what MarshalJSON wrote
 }
 
 // Ended is a session that is over: it counts only while the host still has it.
@@ -153,6 +155,8 @@
 		return s.expire(c)
 	case Put, Drop:
 		return s.edit(c)
+	case Restore:
+		return s.restore(c)
 	}
 	return failed(fmt.Errorf("%w: operation %.32q", ErrBad, c.Op))
 }
@@ -169,7 +173,7 @@
 		}
 		return Result{Version: s.founded}
 	}
-	if err := checkName("group", c.Group); err != nil {
+	if err := CheckName("group", c.Group); err != nil {
 		return failed(fmt.Errorf("%w: %w", ErrBad, err))
 	}
 	if c.AtMS <= 0 || c.AtMS > MaxVersion/versionRoom/2 {
@@ -282,7 +286,7 @@
 // remove takes an instance out, and its mark with it. One that is not there is
 // out already.
 func (s *State) remove(c Command) Result {
-	if err := checkName("host", c.Host); err != nil {
+	if err := CheckName("host", c.Host); err != nil {
 		return failed(fmt.Errorf("%w: %w", ErrBad, err))
 	}
 	e := s.entries[c.Host]
@@ -316,9 +320,36 @@
 	return Result{Changed: changed}
 }
 
+// restore takes over the contents of a backup, but not its versions: the list's
+// go on, to where no version was before, and every watcher gets the whole list.
+func (s *State) restore(c Command) Result {
+	from := New()
+	if err := json.Unmarshal(c.Backup, from); err != nil {
+		return failed(fmt.Errorf("%w: %w", ErrBad, err))
+	}
+	if from.group != s.group {
+		return failed(fmt.Errorf("%w: the backup is of group %.64q, this is %q", ErrConflict, from.group, s.group))
+	}
+	for _, e := range from.entries {
+		if err := e.Instance.Check(); err != nil {
+			return failed(fmt.Errorf("%w: backup: %w", ErrBad, err))
+		}
+	}
+	next := max(s.seq, s.edits, from.seq, from.edits) + 1
+	for _, e := range from.entries {
+		e.Version = next
+	}
+	for _, r := range from.records {
+		r.Version = next
+	}
+	from.founded, from.seq, from.oldest, from.edits, from.log = s.founded, next, next, next, nil
+	*s = *from
+	return Result{Version: next}
+}
+
 // edit writes or deletes a record. The same value again changes nothing.
 func (s *State) edit(c Command) Result {
-	if err := checkName("key", c.Key); err != nil {
+	if err := CheckName("key", c.Key); err != nil {
 		return failed(fmt.Errorf("%w: %w", ErrBad, err))
 	}
 	was, version := s.records[c.Key], uint64(0)
@@ -401,6 +432,9 @@
 	return l
 }
 
+// Len returns how many instances there are.
+func (s *State) Len() int { return len(s.entries) }
+
 // Entries returns all entries, by host.
 func (s *State) Entries() []Entry {
 	all := make([]Entry, 0, len(s.entries))
--- a/internal/sidecar/connections_test.go
+++ b/internal/sidecar/connections_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"reflect"
+	"regexp"
 	"runtime"
 	"strings"
 	"sync"
@@ -641,3 +643,28 @@
 		t.Errorf("counted %+v, want one silent and one vanished", n)
 	}
 }
+
+// The page names each counter of both sides, and none that there is not.
+func TestPageNamesTheCounters(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CONNECTIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	named := make(map[string]bool)
+	for _, of := range []reflect.Type{reflect.TypeFor[clientCounters](), reflect.TypeFor[poolCounters]()} {
+		for i := range of.NumField() {
+			named[of.Field(i).Name] = false
+		}
+	}
+	for _, m := range regexp.MustCompile("`([A-Z][A-Za-z]+)`").FindAllSubmatch(page, -1) {
+		if _, ok := named[string(m[1])]; !ok {
+			t.Errorf("the page names %s, which does not exist", m[1])
+		}
+		named[string(m[1])] = true
+	}
+	for name, ok := range named {
+		if !ok {
+			t.Errorf("the page does not name %s", name)
+		}
+	}
+}
