--- /dev/null
+++ b/cmd/barleyctl/main_test.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"mothridge/internal/drain"
+	"mothridge/internal/registry"
+	"mothridge/internal/registry/server"
+)
+
+// startRegistry runs a registry with two machines until the test ends, and returns
+// the path of a configuration for the command.
+func startRegistry(t *testing.T) (config string) {
+	t.Helper()
+	listen := func() net.Listener {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ln
+	}
+	http_, raft := listen(), listen()
+	text, err := json.Marshal(map[string]any{
+		"group": "test", "id": "r", "data": t.TempDir(), "timing": map[string]any{"election_ms": 100},
+		"replicas": []registry.Member{{ID: "r", HTTP: http_.Addr().String(), Raft: raft.Addr().String()}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := server.ParseConfig(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := server.Open(c, raft)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := r.Server()
+	go s.Serve(http_)
+	t.Cleanup(func() {
+		s.Close()
+		if err := r.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	config = filepath.Join(t.TempDir(), "ctl.json")
+	text, err = json.Marshal(drain.Config{
+		Registry: []string{http_.Addr().String()}, Floor: drain.Floor{Others: 1}, LongestMS: 1000, LeaseMS: 15000,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := drain.LoadConfig(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, end, err := cfg.Workflow("test", time.Second, t.Logf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer end()
+	writer := w.Registry.(interface {
+		Register(context.Context, registry.RegisterRequest) (registry.WriteAnswer, error)
+	})
+	for _, s := range [][2]string{{"s-1", "m-1"}, {"s-2", "m-2"}} {
+		i := registry.Instance{Host: s[0], Dial: "127.0.0.1:1", Site: "a", Health: registry.Up, Share: 1} // nobody listens: no work
+		if _, err := writer.Register(t.Context(), registry.RegisterRequest{Instance: i, Machine: s[1]}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return config
+}
+
+func ctl(t *testing.T, env string, args ...string) (status int, out, errs string) {
+	t.Helper()
+	var o, e bytes.Buffer
+	status = run(t.Context(), args, func(string) string { return env }, &o, &e)
+	return status, o.String(), e.String()
+}
+
+// Each call's exit status, and one line that says what is wrong.
+func TestExitStatuses(t *testing.T) {
+	config := startRegistry(t)
+	dead := filepath.Join(t.TempDir(), "dead.json")
+	if err := os.WriteFile(dead, []byte(`{"registry":["127.0.0.1:1"],"floor":{"others":1},"longest_ms":1}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for name, x := range map[string]struct {
+		env    string
+		args   []string
+		status int
+		says   string
+	}{
+		"help":               {config, []string{"--help"}, done, "barleyctl takes machines"},
+		"nothing":            {config, nil, wrongCall, "drain, undrain or status"},
+		"an unknown command": {config, []string{"fetch", "m-1"}, wrongCall, "no command"},
+		"no machine":         {config, []string{"drain"}, wrongCall, "needs a machine"},
+		"two machines":       {config, []string{"drain", "m-1", "m-2"}, wrongCall, "one machine"},
+		"an unknown flag":    {config, []string{"drain", "m-1", "--fast"}, wrongCall, "--fast"},
+		"no time":            {config, []string{"drain", "m-1", "--timeout", "0s"}, wrongCall, "above 0"},
+		"no configuration":   {"", []string{"status"}, wrongCall, "-config FILE"},
+		"a missing file":     {"/nonexistent", []string{"status"}, failed, "read configuration"},
+		"no registry":        {dead, []string{"drain", "m-1", "--timeout", "300ms"}, failed, "no replica"},
+		"an unknown machine": {config, []string{"drain", "m-9"}, refused, "it has those of m-1, m-2"},
+		"not drained":        {config, []string{"undrain", "m-1"}, refused, "not drained"},
+		"a dry run":          {config, []string{"drain", "--dry-run", "m-1"}, done, "1 of 2 ready servers would remain, the floor is 1"},
+		"no drains":          {config, []string{"status"}, done, "no machine"},
+	} {
+		status, out, errs := ctl(t, x.env, x.args...)
+		if status != x.status || !strings.Contains(strings.ReplaceAll(out+errs, "-fast", "--fast"), x.says) {
+			t.Errorf("%s: status %d, %q %q; want %d and %q", name, status, out, errs, x.status, x.says)
+		}
+	}
+	if status, out, errs := ctl(t, config, "drain", "m-1", "--timeout", "500ms"); status != outOfTime || !strings.Contains(errs, "undone") {
+		t.Errorf("out of time: status %d, %q %q", status, out, errs) // the sidecars count as told after 6 s
+	}
+	if status, out, errs := ctl(t, config, "drain", "m-1"); status != done || !strings.Contains(out, "m-1: done") {
+		t.Errorf("drain: status %d, %q %q", status, out, errs)
+	}
+	if status, _, errs := ctl(t, config, "drain", "m-2"); status != refused || !strings.Contains(errs, "floor") {
+		t.Errorf("below the floor: status %d, %q", status, errs)
+	}
+	if status, out, _ := ctl(t, config, "status", "m-1"); status != done || !strings.Contains(out, "out of service") {
+		t.Errorf("status: %d, %q", status, out)
+	}
+	if status, _, errs := ctl(t, config, "undrain", "m-1"); status != done {
+		t.Errorf("undrain: status %d, %q", status, errs)
+	}
+}
--- /dev/null
+++ b/internal/drain/config.go
@@ -0,0 +1,98 @@
+package drain
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"mothridge/internal/registry/client"
+)
+
+// Config is what the operator's command is told.
+type Config struct {
+	Registry  []string `json:"registry"` // addresses of its replicas
+	Floor     Floor    `json:"floor"`
+	Sidecars  int      `json:"sidecars"`   // how many there are; 0: not known
+	LongestMS int64    `json:"longest_ms"` // the longest time that a client gives a request
+	LeaseMS   int64    `json:"lease_ms"`   // how long a claim lasts without a renewal
+	Stop      []string `json:"stop"`       // the command that stops a server
+}
+
+const (
+	// defaultLease is several times the pause between renewals, and short enough
+	// that another operator need not wait long after a crash.
+	defaultLease = 15 * time.Second
+	leastLease   = 2 * time.Second
+	// answerIn is how long the registry may take to answer: longer than it is without
+	// a leader after a loss.
+	answerIn = 10 * time.Second
+)
+
+// LoadConfig reads the command's configuration file. An unknown key is an error.
+func LoadConfig(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	c := &Config{LeaseMS: defaultLease.Milliseconds(), LongestMS: -1, Floor: Floor{Others: -1}}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(c); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+func (c *Config) check() error {
+	switch {
+	case len(c.Registry) == 0:
+		return fmt.Errorf("registry: no address of a replica is named")
+	case c.Floor.Others < 0:
+		return fmt.Errorf("floor.others is missing or negative: how many ready servers must remain in a zone that floor.zones does not name")
+	case c.LongestMS < 0:
+		return fmt.Errorf("longest_ms is missing or negative: the longest time that a client gives a request")
+	case c.Sidecars < 0:
+		return fmt.Errorf("sidecars is %d, it must not be negative", c.Sidecars)
+	case c.LeaseMS < leastLease.Milliseconds():
+		return fmt.Errorf("lease_ms is %d, at least %d is needed", c.LeaseMS, leastLease.Milliseconds())
+	case len(c.Stop) > 0 && c.Stop[0] == "":
+		return fmt.Errorf("stop: the command has no name")
+	}
+	for zone, n := range c.Floor.Zones {
+		if n < 0 {
+			return fmt.Errorf("floor.zones: %s is %d, it must not be negative", zone, n)
+		}
+	}
+	return nil
+}
+
+// Workflow makes the workflow for the real site. end lets go of its connections.
+func (c *Config) Workflow(owner string, poll time.Duration, say func(string, ...any)) (w *Workflow, end func(), err error) {
+	r, err := client.New(c.Registry, rand.Uint64())
+	if err != nil {
+		return nil, nil, err
+	}
+	return &Workflow{
+		Registry: r.Within(answerIn),
+		Fleet: &Site{
+			Statuses: r.Statuses, Sidecars: c.Sidecars, Longest: time.Duration(c.LongestMS) * time.Millisecond, Command: c.Stop, Now: time.Now,
+		},
+		Floor: c.Floor, Owner: owner, Lease: time.Duration(c.LeaseMS) * time.Millisecond, Poll: poll, Now: time.Now, Sleep: sleep, Say: say,
+	}, r.Close, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/drain/drain.go
@@ -0,0 +1,554 @@
+// Package drain takes a machine out of service and loses nothing: it claims the
+// machine, checks that what remains bears the load, marks its servers as draining,
+// waits until the sidecars know it and the servers' work has ended, stops the
+// machine's processes, and reports.
+//
+// The workflow is a state machine whose state stands in the registry, in one record
+// for all machines, and moves only under compare-and-set. Whoever runs it holds a
+// claim that has to be renewed; if that one is lost at any step, another resumes
+// where it was or undoes it. As all drains are in one record, two at once cannot
+// both count on the same servers to remain.
+package drain
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"mothridge/internal/registry"
+)
+
+// Step is how far a drain has come.
+type Step string
+
+// The steps, in their order.
+const (
+	Claimed  Step = "claimed"  // the floor holds without the machine, and it is ours; nothing has changed
+	Marked   Step = "marked"   // its servers are marked draining
+	Drained  Step = "drained"  // the sidecars know it, and the servers' work has ended
+	Stopping Step = "stopping" // its processes are being stopped: from here on there is no way back but undrain
+	Done     Step = "done"
+	Undoing  Step = "undoing" // the marks are being taken back
+)
+
+// Drain is the state of one machine's drain.
+type Drain struct {
+	Machine string   `json:"machine"`
+	Step    Step     `json:"step"`
+	Hosts   []string `json:"hosts"`
+	Zones   []string `json:"zones"`
+	// Owner holds the claim until Expires, in Unix milliseconds.
+	Owner   string `json:"owner"`
+	Expires int64  `json:"expires_ms"`
+	Began   int64  `json:"began_ms"`
+	// Seq is the list's version that has the marks, and MarkedAt when it came.
+	Seq      uint64 `json:"seq,omitempty"`
+	MarkedAt int64  `json:"marked_ms,omitempty"`
+}
+
+// RecordKey is where the registry keeps all drains.
+const RecordKey = "drains"
+
+// by is who marks a machine's servers: the drain and not its operator, so that
+// whoever resumes or undoes it may.
+func by(machine string) string { return "drain:" + machine }
+
+// Registry is what the workflow needs of the list.
+type Registry interface {
+	Entries(ctx context.Context) (registry.EntriesAnswer, error)
+	Record(ctx context.Context, key string) (registry.Record, error)
+	Put(ctx context.Context, key string, value []byte, ifVersion *uint64) (uint64, error)
+	Mark(ctx context.Context, m registry.MarkRequest) (registry.WriteAnswer, error)
+}
+
+// Fleet is what the workflow needs to know of the world, and to do in it.
+type Fleet interface {
+	// Told says whether all sidecars hold a version of the list; since is when it came.
+	Told(ctx context.Context, seq uint64, since time.Time) (bool, error)
+	// Idle says whether a server, marked at that time, has no work any more.
+	Idle(ctx context.Context, server registry.Entry, since time.Time) (bool, error)
+	// Stop stops a server's processes. It may be called again for one that is stopped.
+	Stop(ctx context.Context, machine, host string) error
+}
+
+// Floor is how many ready servers have to remain in each zone; Others counts where
+// a zone is not named.
+type Floor struct {
+	Zones  map[string]int `json:"zones"`
+	Others int            `json:"others"`
+}
+
+func (f Floor) of(zone string) int {
+	if n, ok := f.Zones[zone]; ok {
+		return n
+	}
+	return f.Others
+}
+
+// Workflow runs drains for one operator.
+type Workflow struct {
+	Registry Registry
+	Fleet    Fleet
+	Floor    Floor
+	Owner    string
+	Lease    time.Duration                                    // how long a claim lasts without a renewal
+	Poll     time.Duration                                    // between two looks at what is waited for
+	Now      func() time.Time                                 // the clock that all machines read
+	Sleep    func(ctx context.Context, d time.Duration) error // waits, or returns ctx's error
+	Say      func(format string, args ...any)                 // tells the operator
+}
+
+// Why a drain is refused. The error's text says what and what to do; nothing was changed.
+var (
+	ErrRefused = errors.New("refused")
+	// ErrLost says that the claim has passed to another.
+	ErrLost = errors.New("the claim is lost")
+	// ErrTimeout says that the time given was up.
+	ErrTimeout = errors.New("out of time")
+)
+
+func refuse(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ErrRefused, fmt.Sprintf(format, args...))
+}
+
+// drains is the record of all drains at a version.
+type drains struct {
+	all     map[string]Drain
+	version uint64
+}
+
+// load reads the record.
+func (w *Workflow) load(ctx context.Context) (drains, error) {
+	d := drains{all: make(map[string]Drain)}
+	r, err := w.Registry.Record(ctx, RecordKey)
+	if errors.Is(err, registry.ErrUnknown) {
+		return d, nil
+	} else if err != nil {
+		return d, err
+	}
+	if err := json.Unmarshal(r.Value, &d.all); err != nil {
+		return d, fmt.Errorf("the record %s in the registry cannot be read: %w", RecordKey, err)
+	}
+	d.version = r.Version
+	return d, nil
+}
+
+// save writes the record if nobody has since it was read. registry.ErrConflict
+// says that somebody has.
+func (w *Workflow) save(ctx context.Context, d *drains) error {
+	text, err := json.Marshal(d.all)
+	if err != nil {
+		return err
+	}
+	v, err := w.Registry.Put(ctx, RecordKey, text, &d.version)
+	if err == nil {
+		d.version = v
+	}
+	return err
+}
+
+// update changes one machine's drain as change says, in the newest record.
+func (w *Workflow) update(ctx context.Context, machine string, change func(d drains, own Drain, is bool) (Drain, bool, error)) (drains, error) {
+	for {
+		d, err := w.load(ctx)
+		if err != nil {
+			return d, err
+		}
+		own, is := d.all[machine]
+		next, keep, err := change(d, own, is)
+		if err != nil {
+			return d, err
+		}
+		if keep {
+			d.all[machine] = next
+		} else {
+			delete(d.all, machine)
+		}
+		if err := w.save(ctx, &d); !errors.Is(err, registry.ErrConflict) {
+			return d, err
+		}
+	}
+}
+
+// held changes a drain whose claim has to be ours, and renews the claim.
+func (w *Workflow) held(ctx context.Context, machine string, change func(own *Drain)) (Drain, drains, error) {
+	var got Drain
+	d, err := w.update(ctx, machine, func(_ drains, own Drain, is bool) (Drain, bool, error) {
+		if !is || own.Owner != w.Owner {
+			return own, is, fmt.Errorf("%w: the drain of %s is %s by now; nothing more was changed here", ErrLost, machine, describe(own, is))
+		}
+		if change != nil {
+			change(&own)
+		}
+		own.Expires = w.Now().Add(w.Lease).UnixMilli()
+		got = own
+		return own, true, nil
+	})
+	return got, d, err
+}
+
+func describe(d Drain, is bool) string {
+	if !is {
+		return "over"
+	}
+	return fmt.Sprintf("%s's, at step %s", d.Owner, d.Step)
+}
+
+// Plan is what a drain would do.
+type Plan struct {
+	Machine string
+	Hosts   []string
+	Zones   []Remains
+	Resumes Step // the step that a drain under way would be resumed at; empty: a new one
+}
+
+// Remains is what a zone has before and after.
+type Remains struct {
+	Zone               string
+	Ready, Left, Floor int
+}
+
+// plan checks a drain against the list and the other drains.
+func (w *Workflow) plan(ctx context.Context, machine string, d drains) (Plan, error) {
+	list, err := w.Registry.Entries(ctx)
+	if err != nil {
+		return Plan{}, err
+	}
+	p := Plan{Machine: machine}
+	zones, ready := make(map[string]int), make(map[string]int)
+	known := make(map[string]bool)
+	for _, e := range list.Entries {
+		known[e.Machine] = true
+		if e.Machine == machine {
+			p.Hosts = append(p.Hosts, e.Host)
+			zones[e.Site] += 0
+			if m := list.Marks[e.Host]; m != "" && m != by(machine) {
+				return p, refuse("server %s is marked by %s: let that end first", e.Host, m)
+			}
+		}
+		other := d.all[e.Machine]
+		if e.Health == registry.Up && (other.Step == "" || e.Machine == machine) {
+			ready[e.Site]++
+			if e.Machine == machine {
+				zones[e.Site]++
+			}
+		}
+	}
+	if len(p.Hosts) == 0 {
+		var names []string
+		for m := range known {
+			if m != "" {
+				names = append(names, m)
+			}
+		}
+		slices.Sort(names)
+		return p, refuse("machine %q has no servers in the list; it has those of %s", machine, strings.Join(names, ", "))
+	}
+	slices.Sort(p.Hosts)
+	for _, z := range slices.Sorted(maps.Keys(zones)) {
+		r := Remains{Zone: z, Ready: ready[z], Left: ready[z] - zones[z], Floor: w.Floor.of(z)}
+		p.Zones = append(p.Zones, r)
+		if zones[z] > 0 && r.Left < r.Floor {
+			return p, refuse("without %s zone %s would have %d ready servers, its floor is %d; start others first, or end another drain", machine, z, r.Left, r.Floor)
+		}
+	}
+	return p, nil
+}
+
+// Plan says what a drain of the machine would do, and changes nothing.
+func (w *Workflow) Plan(ctx context.Context, machine string) (Plan, error) {
+	d, err := w.load(ctx)
+	if err != nil {
+		return Plan{}, err
+	}
+	if own, is := d.all[machine]; is {
+		if err := w.mayClaim(own); err != nil {
+			return Plan{}, err
+		}
+		return Plan{Machine: machine, Hosts: own.Hosts, Resumes: own.Step}, nil
+	}
+	return w.plan(ctx, machine, d)
+}
+
+// mayClaim says why a drain under way cannot be taken over, if it cannot.
+func (w *Workflow) mayClaim(own Drain) error {
+	switch {
+	case own.Step == Done:
+		return refuse("machine %s is drained already; undrain brings it back", own.Machine)
+	case own.Step == Undoing:
+		return refuse("the drain of machine %s is being undone; let undrain end that first", own.Machine)
+	}
+	return w.free(own)
+}
+
+// free says whose claim is in the way.
+func (w *Workflow) free(own Drain) error {
+	if left := own.Expires - w.Now().UnixMilli(); own.Owner != w.Owner && left > 0 {
+		return refuse("machine %s is claimed by %s, at step %s; its claim lasts another %v unless it is renewed",
+			own.Machine, own.Owner, own.Step, (time.Duration(left) * time.Millisecond).Round(time.Second))
+	}
+	return nil
+}
+
+// Drain drains a machine, or resumes its drain. If ctx ends before the machine's
+// processes are being stopped, it is undone.
+func (w *Workflow) Drain(ctx context.Context, machine string) error {
+	own, err := w.claim(ctx, machine)
+	if err != nil {
+		return err
+	}
+	for own.Step != Done {
+		step := own.Step
+		if own, err = w.step(ctx, own); err != nil {
+			if ctx.Err() != nil && step != Stopping && !errors.Is(err, ErrLost) {
+				return w.giveUp(ctx, machine, step)
+			}
+			return err
+		}
+		if own.Step != step {
+			w.Say("%s: %s", machine, own.Step)
+		}
+	}
+	return nil
+}
+
+// claim makes the machine's drain ours: a new one if the floor allows, or one that
+// nobody holds any more.
+func (w *Workflow) claim(ctx context.Context, machine string) (own Drain, err error) {
+	_, err = w.update(ctx, machine, func(d drains, was Drain, is bool) (Drain, bool, error) {
+		now := w.Now()
+		if is {
+			if err := w.mayClaim(was); err != nil {
+				return was, true, err
+			}
+			own = was
+		} else {
+			p, err := w.plan(ctx, machine, d)
+			if err != nil {
+				return was, false, err
+			}
+			own = Drain{Machine: machine, Step: Claimed, Hosts: p.Hosts, Began: now.UnixMilli()}
+			for _, z := range p.Zones {
+				own.Zones = append(own.Zones, z.Zone)
+			}
+		}
+		own.Owner, own.Expires = w.Owner, now.Add(w.Lease).UnixMilli()
+		return own, true, nil
+	})
+	if err == nil {
+		w.Say("%s: %s, servers %s", machine, own.Step, strings.Join(own.Hosts, ", "))
+	}
+	return own, err
+}
+
+// step does what the step that a drain is at asks for, and brings it to the next
+// one, or leaves it there for another look. Each may be done again.
+func (w *Workflow) step(ctx context.Context, own Drain) (Drain, error) {
+	switch own.Step {
+	case Claimed:
+		return w.mark(ctx, own)
+	case Marked:
+		quiet, err := w.quiet(ctx, own)
+		if err != nil {
+			return own, err
+		}
+		if !quiet {
+			if err := w.Sleep(ctx, w.Poll); err != nil {
+				return own, err
+			}
+			own, _, err = w.held(ctx, own.Machine, nil)
+			return own, err
+		}
+		return w.advance(ctx, own, Drained)
+	case Drained:
+		return w.advance(ctx, own, Stopping)
+	case Stopping:
+		for _, host := range own.Hosts {
+			if err := w.Fleet.Stop(ctx, own.Machine, host); err != nil {
+				return own, fmt.Errorf("%s: stopping %s: %w; drain it again to resume", own.Machine, host, err)
+			}
+			if _, _, err := w.held(ctx, own.Machine, nil); err != nil {
+				return own, err
+			}
+		}
+		return w.advance(ctx, own, Done)
+	}
+	return own, fmt.Errorf("the drain of %s is at step %q, which this program does not know", own.Machine, own.Step)
+}
+
+func (w *Workflow) advance(ctx context.Context, own Drain, to Step) (Drain, error) {
+	next, _, err := w.held(ctx, own.Machine, func(d *Drain) { d.Step = to })
+	return next, err
+}
+
+// mark marks the machine's servers, those that have come since among them, while
+// the claim is ours: the registry checks that in the same command.
+func (w *Workflow) mark(ctx context.Context, own Drain) (Drain, error) {
+	list, err := w.Registry.Entries(ctx)
+	if err != nil {
+		return own, err
+	}
+	hosts := slices.Clone(own.Hosts)
+	for _, e := range list.Entries {
+		if e.Machine == own.Machine && !slices.Contains(hosts, e.Host) {
+			hosts = append(hosts, e.Host)
+		}
+	}
+	hosts = slices.DeleteFunc(hosts, func(h string) bool { // one that has left needs no mark
+		return !slices.ContainsFunc(list.Entries, func(e registry.Entry) bool { return e.Host == h }) && list.Marks[h] == ""
+	})
+	slices.Sort(hosts)
+	for {
+		next, d, err := w.held(ctx, own.Machine, func(x *Drain) { x.Hosts = hosts })
+		if err != nil {
+			return own, err
+		}
+		own = next
+		var a registry.WriteAnswer
+		if len(hosts) > 0 {
+			a, err = w.Registry.Mark(ctx, registry.MarkRequest{
+				Hosts: hosts, By: by(own.Machine), Draining: true, Record: RecordKey, RecordAt: d.version,
+			})
+			if errors.Is(err, registry.ErrConflict) && !w.marked(ctx, own) {
+				// Either another drain has moved on in the same record, or somebody else
+				// has marked one of the servers.
+				if err := w.foreign(ctx, hosts, own.Machine); err != nil {
+					return own, err
+				}
+				continue
+			} else if err != nil && !errors.Is(err, registry.ErrConflict) {
+				return own, err
+			}
+		}
+		if a.Seq == 0 { // nobody is left to mark, or it had been done: the list of now has it
+			if list, err = w.Registry.Entries(ctx); err != nil {
+				return own, err
+			}
+			a.Seq = list.Seq
+		}
+		next, _, err = w.held(ctx, own.Machine, func(x *Drain) {
+			x.Step, x.Seq, x.MarkedAt = Marked, a.Seq, w.Now().UnixMilli()
+		})
+		return next, err
+	}
+}
+
+// marked says whether all its servers are marked by this drain already.
+func (w *Workflow) marked(ctx context.Context, own Drain) bool {
+	list, err := w.Registry.Entries(ctx)
+	return err == nil && !slices.ContainsFunc(own.Hosts, func(h string) bool { return list.Marks[h] != by(own.Machine) })
+}
+
+// foreign returns an error if somebody else has marked one of the servers.
+func (w *Workflow) foreign(ctx context.Context, hosts []string, machine string) error {
+	list, err := w.Registry.Entries(ctx)
+	if err != nil {
+		return err
+	}
+	for _, h := range hosts {
+		if m := list.Marks[h]; m != "" && m != by(machine) {
+			return fmt.Errorf("server %s is marked by %s: let that end, then drain %s again or undrain it", h, m, machine)
+		}
+	}
+	return nil
+}
+
+// quiet says whether the sidecars know of the marks and the servers have no work.
+func (w *Workflow) quiet(ctx context.Context, own Drain) (bool, error) {
+	told, err := w.Fleet.Told(ctx, own.Seq, time.UnixMilli(own.MarkedAt))
+	if err != nil || !told {
+		return false, err
+	}
+	list, err := w.Registry.Entries(ctx)
+	if err != nil {
+		return false, err
+	}
+	for _, e := range list.Entries {
+		if e.Machine != own.Machine {
+			continue
+		}
+		if list.Marks[e.Host] != by(own.Machine) { // it came, or was marked by hand, since
+			_, err := w.mark(ctx, own)
+			return false, err
+		}
+		idle, err := w.Fleet.Idle(ctx, e, time.UnixMilli(own.MarkedAt))
+		if err != nil || !idle {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
+// giveUp undoes a drain whose time is up.
+func (w *Workflow) giveUp(ctx context.Context, machine string, step Step) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), w.Lease)
+	defer cancel()
+	if err := w.Undrain(ctx, machine); err != nil {
+		return fmt.Errorf("%s: %w at step %s, and it could not be undone: %w; drain it again to resume, or undrain it", machine, ErrTimeout, step, err)
+	}
+	return fmt.Errorf("%s: %w at step %s; the drain is undone", machine, ErrTimeout, step)
+}
+
+// Undrain takes a machine's drain back, whatever step it has come to, and lets its
+// servers be used again when they are there.
+func (w *Workflow) Undrain(ctx context.Context, machine string) error {
+	var own Drain
+	if _, err := w.update(ctx, machine, func(_ drains, was Drain, is bool) (Drain, bool, error) {
+		if !is {
+			return was, false, refuse("machine %q is not drained, and not being drained", machine)
+		}
+		if was.Step != Done {
+			if err := w.free(was); err != nil {
+				return was, true, err
+			}
+		}
+		own = was
+		own.Step, own.Owner, own.Expires = Undoing, w.Owner, w.Now().Add(w.Lease).UnixMilli()
+		return own, true, nil
+	}); err != nil {
+		return err
+	}
+	list, err := w.Registry.Entries(ctx)
+	if err != nil {
+		return err
+	}
+	var hosts []string
+	for h, m := range list.Marks {
+		if m == by(machine) {
+			hosts = append(hosts, h)
+		}
+	}
+	if slices.Sort(hosts); len(hosts) > 0 {
+		if _, err := w.Registry.Mark(ctx, registry.MarkRequest{Hosts: hosts, By: by(machine)}); err != nil {
+			return err
+		}
+	}
+	_, err = w.update(ctx, machine, func(_ drains, was Drain, is bool) (Drain, bool, error) {
+		if is && (was.Owner != w.Owner || was.Step != Undoing) {
+			return was, true, fmt.Errorf("%w: the drain of %s is %s by now", ErrLost, machine, describe(was, is))
+		}
+		return was, false, nil
+	})
+	if err == nil {
+		w.Say("%s: undone, servers %s", machine, strings.Join(own.Hosts, ", "))
+	}
+	return err
+}
+
+// Status returns all drains, by machine.
+func (w *Workflow) Status(ctx context.Context) ([]Drain, error) {
+	d, err := w.load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var all []Drain
+	for _, m := range slices.Sorted(maps.Keys(d.all)) {
+		all = append(all, d.all[m])
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/drain/fleet.go
@@ -0,0 +1,133 @@
+package drain
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"mothridge/internal/registry"
+)
+
+const (
+	// toldWithin is after how long anything that discovery has to tell counts as
+	// told, by the protocol, whether it arrived or not.
+	toldWithin = 6 * time.Second
+	askIn      = time.Second // for one question to a replica or a server
+	maxReport  = 4 << 10
+	maxOutput  = 300 // characters of a failed command's output that are shown
+)
+
+// Statuses asks every replica of the registry how it stands; one that cannot be
+// reached is left out, and all says whether none was.
+type Statuses func(ctx context.Context) (got []registry.StatusAnswer, all bool)
+
+// Site is the real fleet: the registry's watches, the booking servers' load
+// reports, and a command that stops a server's processes.
+type Site struct {
+	Statuses Statuses
+	// Sidecars is how many there are, where that is known: if so many watches hold a
+	// version, nobody else has to be waited for.
+	Sidecars int
+	// Longest is the longest time that a client gives a request. A server that
+	// reports no load has no work after that.
+	Longest time.Duration
+	// Command stops a server; {machine} and {host} stand for their names. None: the
+	// operator stops it.
+	Command []string
+	Now     func() time.Time
+}
+
+// Told says whether all sidecars hold a version. Those that watch say so by it; one
+// that does not watch at the moment counts as told when the protocol says.
+func (s *Site) Told(ctx context.Context, seq uint64, since time.Time) (bool, error) {
+	if s.Now().Sub(since) >= toldWithin {
+		return true, nil
+	}
+	got, all := s.Statuses(ctx)
+	if err := ctx.Err(); err != nil {
+		return false, err
+	}
+	watches := 0
+	for _, r := range got {
+		if r.WatchSeq < seq {
+			return false, nil
+		}
+		watches += r.Watches
+	}
+	return all && s.Sidecars > 0 && watches >= s.Sidecars, nil
+}
+
+// Idle asks a server for its load. One that cannot be reached any more has none; one
+// that does not report has none when nobody can wait for an answer any longer.
+func (s *Site) Idle(ctx context.Context, server registry.Entry, since time.Time) (bool, error) {
+	within, cancel := context.WithTimeout(ctx, askIn)
+	defer cancel()
+	req, err := http.NewRequestWithContext(within, http.MethodGet, "http://"+server.Dial+"/stats", nil)
+	if err != nil {
+		return false, err
+	}
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := c.Do(req)
+	switch {
+	case ctx.Err() != nil:
+		return false, ctx.Err()
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return true, nil
+	case err == nil:
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxReport))
+		report := resp.Header.Get("Server-Load")
+		if report == "" {
+			report = string(text)
+		}
+		if work, ok := load(report); ok && resp.StatusCode == http.StatusOK {
+			return work == 0, nil
+		}
+	}
+	return s.Now().Sub(since) >= toldWithin+s.Longest, nil
+}
+
+// load reads how much a server holds out of its report: what is in flight and what
+// waits, or else how busy its cores are.
+func load(report string) (work float64, ok bool) {
+	values := make(map[string]float64)
+	report, _ = strings.CutPrefix(strings.TrimSpace(report), "TEXT ")
+	for field := range strings.SplitSeq(report, ",") {
+		name, text, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if v, err := strconv.ParseFloat(text, 64); err == nil && v >= 0 {
+			values[name] = v
+		}
+	}
+	inflight, a := values["inflight"]
+	util, b := values["util"]
+	if !a && !b {
+		return 0, false
+	}
+	return inflight + util + values["queue"], true
+}
+
+// Stop runs the command for one server. It must do no harm where the server is
+// stopped already: a drain that is resumed runs it again.
+func (s *Site) Stop(ctx context.Context, machine, host string) error {
+	if len(s.Command) == 0 {
+		return nil
+	}
+	names := strings.NewReplacer("{machine}", machine, "{host}", host)
+	args := make([]string, len(s.Command))
+	for i, a := range s.Command {
+		args[i] = names.Replace(a)
+	}
+	out, err := exec.CommandContext(ctx, args[0], args[1:]...).CombinedOutput()
+	if err != nil {
+		line := strings.Join(strings.Fields(string(out)), " ")
+		return fmt.Errorf("%s: %w: %s", args[0], err, line[:min(len(line), maxOutput)])
+	}
+	return nil
+}
--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -67,6 +67,7 @@
 	Applied  uint64   `json:"applied"`
 	Members  []Member `json:"members"`
 	Watches  int      `json:"watches"`
+	WatchSeq uint64   `json:"watch_seq"` // the oldest version that a watch here has been sent
 	Sessions int      `json:"sessions"`
 	Held     bool     `json:"expiry_held"`
 }
--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -62,6 +62,7 @@
 type Client struct {
 	http  *http.Client
 	addrs []string
+	most  time.Duration // for one call over all replicas; 0: as long as its context lasts
 
 	mu   sync.Mutex
 	rng  *rand.Rand
@@ -93,6 +94,13 @@
 // Close lets go of idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
+// Within bounds every call by a time, its tries at all replicas included. It is to
+// be called before the Client is used.
+func (c *Client) Within(most time.Duration) *Client {
+	c.most = most
+	return c
+}
+
 // order is in which order replicas are asked: the last that answered, then the
 // others from a random one on, so that callers spread over them.
 func (c *Client) order() []string {
@@ -126,6 +134,11 @@
 			return fmt.Errorf("registry: write request: %w", err)
 		}
 	}
+	if c.most > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.most)
+		defer cancel()
+	}
 	var last error
 	for pause := firstPause; ; pause = min(2*pause, lastPause) {
 		for _, addr := range c.order() {
@@ -263,3 +276,22 @@
 	err := c.call(ctx, http.MethodGet, "status", nil, &s)
 	return s, err
 }
+
+// Statuses asks every replica that the group has now how it stands. Those that do
+// not answer are left out, and all says whether none was.
+func (c *Client) Statuses(ctx context.Context) (got []registry.StatusAnswer, all bool) {
+	s, err := c.Status(ctx)
+	if err != nil {
+		return nil, false
+	}
+	all = len(s.Members) > 0
+	for _, m := range s.Members {
+		var one registry.StatusAnswer
+		if _, err := c.once(ctx, m.HTTP, http.MethodGet, "status", nil, &one); err != nil || !one.Ready {
+			all = false
+			continue
+		}
+		got = append(got, one)
+	}
+	return got, all
+}
--- a/internal/registry/server/disk.go
+++ b/internal/registry/server/disk.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -61,7 +62,7 @@
 	} else if err != nil {
 		return nil, fmt.Errorf("log %s: %w", path, err)
 	}
-	d := &disk{bolt: store, logs: &checkedLog{store}, fresh: fresh}
+	d := &disk{bolt: store, logs: &checkedLog{BoltStore: store}, fresh: fresh}
 	if err := d.logs.verify(); err != nil {
 		store.Close()
 		return nil, fmt.Errorf("log %s: %w", path, err)
@@ -150,7 +151,10 @@
 }
 
 // checkedLog keeps a checksum with each entry of the log, which the file has none of.
-type checkedLog struct{ *raftboltdb.BoltStore }
+type checkedLog struct {
+	*raftboltdb.BoltStore
+	failed atomic.Pointer[error] // why the last write failed, if it did
+}
 
 const checksum = 4 // bytes
 
@@ -173,7 +177,13 @@
 		copied.Data = binary.BigEndian.AppendUint32(append(make([]byte, 0, len(l.Data)+checksum), l.Data...), sum(l, l.Data))
 		checked[i] = &copied
 	}
-	return c.BoltStore.StoreLogs(checked)
+	err := c.BoltStore.StoreLogs(checked)
+	if err != nil {
+		c.failed.Store(&err)
+	} else {
+		c.failed.Store(nil)
+	}
+	return err
 }
 
 // GetLog reads an entry, and fails where it is not what was written.
--- a/internal/registry/server/http.go
+++ b/internal/registry/server/http.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -131,6 +132,8 @@
 		if leader, ok := r.leader(); ok && leader.ID != r.self.ID {
 			w.Header().Set("Location", "http://"+leader.HTTP+q.URL.RequestURI())
 			status, err = http.StatusTemporaryRedirect, fmt.Errorf("replica %s leads", leader.ID)
+		} else if failed := r.disk.logs.failed.Load(); failed != nil {
+			err = fmt.Errorf("this replica cannot write its log: %w", *failed)
 		} else {
 			err = errNoLeader
 		}
@@ -260,7 +263,9 @@
 		}
 		return rc.Flush()
 	}
-	if err := r.watch(q.Context(), line, seq, at, put); err != nil {
+	sent := r.sent.add()
+	defer r.sent.remove(sent)
+	if err := r.watch(q.Context(), line, seq, at, sent, put); err != nil {
 		r.hub.cut.Add(1)
 		slog.Info("watch cut", "of", q.RemoteAddr, "err", err)
 		panic(http.ErrAbortHandler) // it must not pass for a good end
@@ -268,10 +273,11 @@
 }
 
 // watch writes lines until the watch ends; an error is for one that is cut.
-func (r *Replica) watch(ctx context.Context, line []byte, seq uint64, at *frame, put func([]byte) error) error {
+func (r *Replica) watch(ctx context.Context, line []byte, seq uint64, at *frame, sent *atomic.Uint64, put func([]byte) error) error {
 	if err := put(line); err != nil {
 		return err
 	}
+	sent.Store(seq)
 	empty := time.NewTicker(emptyEvery)
 	defer empty.Stop()
 	for {
@@ -298,6 +304,7 @@
 		if err := put(line); err != nil {
 			return err
 		}
+		sent.Store(seq)
 		empty.Reset(emptyEvery)
 	}
 }
@@ -368,6 +375,9 @@
 
 // write has a command carried out and answers with its result.
 func (r *Replica) write(w http.ResponseWriter, c registry.Command) error {
+	if err := r.leads(); err != nil {
+		return err
+	}
 	result, err := r.apply(c)
 	if err != nil {
 		return err
--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -56,6 +56,7 @@
 
 	ready   atomic.Bool // it has caught up with the group once since its start
 	watches atomic.Int64
+	sent    versions
 	refused atomic.Uint64 // calls told to come back
 	writes  atomic.Uint64
 	expired atomic.Uint64 // instances removed for their silence
@@ -250,8 +251,8 @@
 func (r *Replica) renew(host, session string, now time.Time) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.sessions == nil || r.raft.State() != raft.Leader {
-		return raft.ErrNotLeader
+	if err := r.leadsLocked(); err != nil {
+		return err
 	}
 	var entry registry.Entry
 	r.machine.read(func(s *registry.State) { entry, _ = s.Entry(host) })
@@ -300,14 +301,33 @@
 	return registry.ReadCurrent, age
 }
 
+// errNewLeader says that this replica leads and is not ready to: it has to apply
+// what its predecessors committed, or to found the group.
+var errNewLeader = errors.New("this replica has just been elected")
+
+// leads returns an error unless this replica leads and has applied what its
+// predecessors committed.
+func (r *Replica) leads() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leadsLocked()
+}
+
+func (r *Replica) leadsLocked() error {
+	switch {
+	case r.raft.State() != raft.Leader:
+		return raft.ErrNotLeader
+	case r.sessions == nil:
+		return errNewLeader
+	}
+	return nil
+}
+
 // linearize makes sure that this replica leads and has applied all that any
 // replica has acknowledged.
 func (r *Replica) linearize() error {
-	r.mu.Lock()
-	leads := r.sessions != nil // and so has applied what its predecessors committed
-	r.mu.Unlock()
-	if !leads {
-		return raft.ErrNotLeader
+	if err := r.leads(); err != nil {
+		return err
 	}
 	commit := r.raft.CommitIndex()
 	if err := r.raft.VerifyLeader().Error(); err != nil {
@@ -434,6 +454,9 @@
 
 // add takes a replica into the group.
 func (r *Replica) add(m registry.Member) error {
+	if err := r.leads(); err != nil {
+		return err
+	}
 	text, err := json.Marshal(m)
 	if err != nil {
 		return err
@@ -446,6 +469,9 @@
 
 // drop takes a replica out of the group.
 func (r *Replica) drop(id string) error {
+	if err := r.leads(); err != nil {
+		return err
+	}
 	if !slices.ContainsFunc(r.voters(), func(s raft.Server) bool { return string(s.ID) == id }) {
 		return fmt.Errorf("%w: no replica %.64s in the group", registry.ErrUnknown, id)
 	}
@@ -467,6 +493,40 @@
 	return nil
 }
 
+// versions are what each open watch has been sent.
+type versions struct {
+	mu  sync.Mutex
+	all map[*atomic.Uint64]bool
+}
+
+// add takes a watch in that has been sent nothing yet.
+func (v *versions) add() *atomic.Uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.all == nil {
+		v.all = make(map[*atomic.Uint64]bool)
+	}
+	at := new(atomic.Uint64)
+	v.all[at] = true
+	return at
+}
+
+func (v *versions) remove(at *atomic.Uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.all, at)
+}
+
+// least is the oldest version among the watches, or none where there is no watch.
+func (v *versions) least(none uint64) uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for at := range v.all {
+		none = min(none, at.Load())
+	}
+	return none
+}
+
 // Status tells how the replica stands.
 func (r *Replica) Status() registry.StatusAnswer {
 	word, _ := r.freshness(time.Now())
@@ -478,6 +538,7 @@
 		s.Leader = m.ID
 	}
 	r.machine.read(func(st *registry.State) { s.Group, s.Seq = st.Group(), st.Seq() })
+	s.WatchSeq = r.sent.least(s.Seq)
 	for _, v := range r.voters() {
 		m, ok := r.member(string(v.ID))
 		if !ok {
--- a/internal/registry/server/server_test.go
+++ b/internal/registry/server/server_test.go
@@ -884,6 +884,25 @@
 	}
 }
 
+// A replica whose disk takes no more says so, and serves on.
+func TestFullDiskIsTold(t *testing.T) {
+	g := startGroup(t, 1)
+	n, c := g.nodes[0], g.client()
+	if _, err := c.Register(within(t), registry.RegisterRequest{Instance: instance("s-1", 1)}); err != nil {
+		t.Fatal(err)
+	}
+	full := errors.New("no space left on device")
+	n.disk.logs.failed.Store(&full)
+	w := &recorder{header: make(http.Header)}
+	n.fail(w, nil, raft.ErrNotLeader)
+	if w.status != 503 || !strings.Contains(w.text.String(), "cannot write its log: no space left") {
+		t.Errorf("a write: %d %s", w.status, w.text.String())
+	}
+	if _, err := c.Register(within(t), registry.RegisterRequest{Instance: instance("s-2", 1)}); err != nil || n.disk.logs.failed.Load() != nil {
+		t.Errorf("once there is room again: %v", err)
+	}
+}
+
 // Replicas of other groups, and of another history under the same name, take no
 // word from each other.
 func TestOtherGroupsAreRefused(t *testing.T) {
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -41,10 +41,11 @@
 	classes  map[string]int
 	tenants  map[string]int
 	listener *limitedListener
+	ending   *drain
 }
 
-func newClients(c *Config, l *loop, listener *limitedListener) *clients {
-	s := &clients{loop: l, classes: make(map[string]int), tenants: make(map[string]int), listener: listener}
+func newClients(c *Config, l *loop, ending *drain) *clients {
+	s := &clients{loop: l, classes: make(map[string]int), tenants: make(map[string]int), listener: ending.listener, ending: ending}
 	for i, name := range c.Classes {
 		s.classes[name] = i
 	}
@@ -62,11 +63,13 @@
 		return
 	}
 	if hr.URL.Path == "/health/ready" {
+		p := s.phase()
 		status := http.StatusOK
-		if !s.loop.ready.Load() || s.listener.isDraining() {
+		if p != serving {
 			status = http.StatusServiceUnavailable
 		}
 		w.WriteHeader(status)
+		io.WriteString(w, p.String()+"\n")
 		return
 	}
 	c.requests++
@@ -91,6 +94,17 @@
 	s.write(w, a)
 }
 
+// phase is how far the sidecar is in its life.
+func (s *clients) phase() phase {
+	if p := s.ending.phase(); p != serving {
+		return p
+	}
+	if !s.loop.ready.Load() {
+		return starting
+	}
+	return serving
+}
+
 // reject answers a request that is not taken and ends its connection: what else
 // waits there may be its body. That is not read before the answer, as it may be
 // of any size or never come. A connection that is closed with bytes unread is
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -1,41 +1,96 @@
 package sidecar
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
-	"net/http"
+	"sync/atomic"
 	"time"
 )
 
+// phase is how far a sidecar is in its life. Its log and /health/ready tell.
+type phase int32
+
 const (
-	// lastConnections is how long new connections come after a planned restart was
-	// announced: the protocol says 0.4 s, and half as much again is for those that
-	// wait to be accepted by then. A request that comes after 0.7 s and is not
-	// answered is lost, so the listener has to be closed before.
-	lastConnections = 600 * time.Millisecond
+	// starting: it listens, and holds no list yet.
+	starting phase = iota
+	// serving: it is ready.
+	serving
+	// draining: it was told to end. It is not ready, closes idle connections, tells
+	// the others to close with their answers, and still takes connections, as some
+	// are on their way.
+	draining
+	// finishing: it takes no connection any more and answers what it has.
+	finishing
+	// over: every connection has ended.
+	over
 )
 
-// shutDown ends service for a planned restart. New connections go on coming for
-// a while, and closing the listener resets those that wait to be accepted: it
-// stays open until then, while every answer tells its client to close. After that
-// it ends as soon as every connection has ended, and not before: whatever a
+func (p phase) String() string {
+	return [...]string{"starting", "serving", "draining", "finishing", "ended"}[p]
+}
+
+// lastConnections is how long connections still come after a planned restart was
+// announced: the protocol says 0.4 s, and half as much again is for those that wait
+// to be accepted by then. What comes after 0.7 s and is not answered is lost, so the
+// listener has to be closed before.
+const lastConnections = 600 * time.Millisecond
+
+// drain takes a sidecar through its planned end, phase by phase. It ends as soon as
+// all that was taken is answered and no more can come, and not before: whatever a
 // sidecar has taken when it ends by itself is lost, however long its client has
-// given it. That nothing holds it up for ever follows from the deadlines that
-// every connection has in every state.
-func shutDown(server *http.Server, l *limitedListener) error {
-	begin := time.Now()
-	l.drain() // none that is idle may get a request after the listener has gone
-	slog.Info("draining", "connections", l.open())
-	time.Sleep(lastConnections)
-	if err := l.stopAccepting(); err != nil {
-		return fmt.Errorf("stop listening: %w", err)
+// given it. That nothing holds it up for ever follows from the deadlines that every
+// connection has in every state; it needs no bound of its own.
+type drain struct {
+	listener *limitedListener
+	begun    time.Time
+	last     chan struct{} // closed when no connection comes any more
+	at       atomic.Int32
+}
+
+func newDrain(l *limitedListener) *drain {
+	d := &drain{listener: l, last: make(chan struct{})}
+	d.at.Store(int32(serving))
+	return d
+}
+
+func (d *drain) phase() phase { return phase(d.at.Load()) }
+
+func (d *drain) enter(p phase) {
+	d.at.Store(int32(p))
+	slog.Info(p.String(), "connections", d.listener.open(), "after", time.Since(d.begun).Round(time.Millisecond))
+}
+
+// begin starts the end.
+func (d *drain) begin() {
+	if d.phase() != serving {
+		return
 	}
-	slog.Info("finishing", "connections", l.open())
-	<-l.gone
-	if err := server.Shutdown(context.Background()); err != nil { // nothing is left to wait for
-		return fmt.Errorf("shut down: %w", err)
+	d.begun = time.Now()
+	d.listener.drain() // none that is idle may get a request after the listener has gone
+	d.enter(draining)
+	time.AfterFunc(lastConnections, func() { close(d.last) })
+}
+
+// due has a value, or is closed, when the next phase is to begin.
+func (d *drain) due() <-chan struct{} {
+	switch d.phase() {
+	case draining:
+		return d.last
+	case finishing:
+		return d.listener.gone
 	}
-	slog.Info("ended", "took", time.Since(begin))
 	return nil
 }
+
+// next begins the phase that is due, and says whether that was the last.
+func (d *drain) next() (done bool, err error) {
+	if d.phase() == draining {
+		if err := d.listener.stopAccepting(); err != nil {
+			return true, fmt.Errorf("stop listening: %w", err)
+		}
+		d.enter(finishing)
+		return false, nil
+	}
+	d.enter(over)
+	return true, nil
+}
--- /dev/null
+++ b/internal/sidecar/drain_test.go
@@ -0,0 +1,253 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"mothridge/internal/registry/client"
+	"mothridge/internal/registry/registrytest"
+	"mothridge/policy"
+)
+
+// A server that drains gets nothing new from the moment on that the sidecar is
+// told, not even what has chosen it already; what runs there ends, idle connections
+// are closed, and if the drain is called off it is used again.
+func TestServerThatDrains(t *testing.T) {
+	u := newUpstream(t, always(answer200("")))
+	p, to := testPool(4), &peer{addr: u.addr}
+	defer p.close()
+	var conns []*conn
+	for range 3 {
+		c, err := p.get(t.Context(), to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	p.put(conns[0])
+	p.drain(to)
+	await(t, "the idle connection's end", u.closed)
+	ups := &upstreams{pool: p}
+	req := &http.Request{Method: "GET", URL: mustURL("/"), Host: "x", Header: http.Header{"Request-Id": {"late"}}}
+	if _, _, wrote, err := ups.exchange(t.Context(), conns[1], req); err != errDrains || !wrote.IsZero() {
+		t.Errorf("on a connection that was taken before: written %v, error %v", wrote, err)
+	}
+	if got, _ := tryOnce(t.Context(), p, to); got != policy.NotSent {
+		t.Errorf("an attempt that had chosen it: ending %v, want not sent", got)
+	}
+	p.put(conns[2]) // what ran has ended
+	if n, now := p.counters(); now.Open != 0 || n.Drained != 2 || len(u.requests) > 0 {
+		t.Errorf("%d connections are open, %d were drained, %d requests came; want 0, 2, 0", now.Open, n.Drained, len(u.requests))
+	}
+	p.resume(to)
+	if got, _ := tryOnce(t.Context(), p, to); got != policy.Served {
+		t.Errorf("after the drain was called off: ending %v", got)
+	}
+}
+
+// A drain that is told while an attempt waits for its connection ends the wait.
+func TestDrainToldDuringAHandshake(t *testing.T) {
+	p, to := testPool(4), &peer{addr: newBlackHole(t)}
+	p.dialTimeout = patience
+	defer p.close()
+	ending := make(chan policy.Ending, 1)
+	go func() { e, _ := tryOnce(t.Context(), p, to); ending <- e }()
+	eventually(t, "it waits", func() bool { return waiters(p) == 1 })
+	p.drain(to)
+	if got := await(t, "its end", ending); got != policy.NotSent {
+		t.Errorf("ending %v, want not sent", got)
+	}
+}
+
+// Through the loop: requests under way are counted to their end, a drain called off
+// and one of a server replaced at its address leave nothing behind, and where all
+// servers drain a client is told to come back.
+func TestDrainsThroughTheList(t *testing.T) {
+	g := registrytest.NewRegistry(t)
+	release := make(chan struct{})
+	u := newUpstream(t, func(r received) (string, bool) {
+		if r.Header.Get("Request-Id") == "held" {
+			<-release
+		}
+		return answer200("ok"), false
+	})
+	addr, _, _ := startSidecar(t, testConfig(t, options{aim: time.Second}, g.Addr, registrytest.HostText("s-1", u.addr, "up", 0)))
+	w := await(t, "the watch", g.Watches)
+	held := call{class: "once", id: "held"}.start(t, addr)
+	await(t, "the held one", u.requests)
+	tell := func(seq int, host, health string) {
+		t.Helper()
+		w.Lines <- registrytest.ListText(seq, false, registrytest.HostText(host, u.addr, health, 0))
+		w.Lines <- "" // taken once the one before has been read
+	}
+	tell(2, "s-1", "draining")
+	for i := 0; ; i++ { // the news is on its way to the loop
+		got := call{class: "once", id: fmt.Sprint("late-", i)}.do(t, addr)
+		if got.status == http.StatusServiceUnavailable {
+			if got.header.Get("Retry-After") == "" {
+				t.Error("refused without a word on when to come back")
+			}
+			break
+		}
+		if i == 1000 {
+			t.Fatalf("a server that drains gets requests: %+v", got)
+		}
+	}
+	for len(u.requests) > 0 {
+		<-u.requests
+	}
+	close(release)
+	if got := await(t, "the held one's answer", held); got.status != 200 {
+		t.Errorf("what ran: %+v", got)
+	}
+	tell(3, "s-1", "up")
+	serveSoon(t, addr)
+	tell(4, "s-1", "draining")
+	tell(5, "s-1", "removed")
+	tell(6, "s-2", "up") // at the same address
+	serveSoon(t, addr)
+}
+
+// The loop counts what runs at a server that drains.
+func TestDrainIsCountedToItsEnd(t *testing.T) {
+	l := newTestLoop(t, registrytest.HostText("s-1", "127.0.0.1:7", "up", 0))
+	h := l.hosts["s-1"]
+	h.out = 1
+	change := func(health string) {
+		l.list(policy.ListDelta, client.Listing{Hosts: []client.Entry{{Host: "s-1", Dial: "127.0.0.1:7", Site: "a", Health: health, Share: 1}}})
+	}
+	l.now = time.Second
+	change("draining")
+	if h.drainAt != time.Second || !h.peer.drains {
+		t.Errorf("drains since %v, peer %v", h.drainAt, h.peer.drains)
+	}
+	l.now = 2 * time.Second
+	if change("draining"); h.drainAt != time.Second {
+		t.Error("told again, the drain began anew")
+	}
+	if change("up"); h.drainAt != 0 || h.peer.drains {
+		t.Error("the drain was not called off")
+	}
+}
+
+// The phases of a planned end, and what a second signal, a new configuration and a
+// client without end do meanwhile.
+func TestPhasesOfThePlannedEnd(t *testing.T) {
+	release := make(chan struct{})
+	u := newUpstream(t, func(received) (string, bool) { <-release; return answer200("ok"), false })
+	old, fresh := registrytest.NewRegistry(t), registrytest.NewRegistry(t)
+	c := testConfig(t, options{}, old.Addr, registrytest.HostText("s-1", u.addr, "up", 0))
+	c.path = filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"discovery":%q,"seed":"1","settings":%s}`, fresh.Addr, fmt.Sprintf(testSettings, false, 500, "push"))
+	if err := os.WriteFile(c.path, []byte(valid(t, text)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	reload := make(chan os.Signal)
+	addr, stop, ended := startReloadable(t, c, reload)
+	await(t, "the watch", old.Watches)
+	phase := func() string {
+		resp, err := http.Get("http://" + addr + "/health/ready")
+		if err != nil {
+			return err.Error()
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		return fmt.Sprint(resp.StatusCode, " ", string(text))
+	}
+	if got := phase(); got != "200 serving\n" {
+		t.Errorf("before: %q", got)
+	}
+	held := call{class: "once", id: "held"}.start(t, addr)
+	await(t, "the held one", u.requests)
+	stop()
+	eventually(t, "it drains", func() bool { return phase() == "503 draining\n" })
+	stop()
+	reload <- syscall.SIGHUP
+	await(t, "the call at the new address", fresh.Asked)
+	eventually(t, "the listener is closed", func() bool { c, err := net.Dial("tcp", addr); closeIf(c, err); return err != nil })
+	select {
+	case err := <-ended:
+		t.Fatalf("ended with a request unanswered: %v", err)
+	default:
+	}
+	close(release)
+	if got := await(t, "the held one's answer", held); got.status != 200 {
+		t.Errorf("the held one: %+v", got)
+	}
+	if err := await(t, "the end", ended); err != nil {
+		t.Error(err)
+	}
+}
+
+func closeIf(c net.Conn, err error) {
+	if err == nil {
+		c.Close()
+	}
+}
+
+// A signal before the sidecar has a list, an attempt that never ends, and a client
+// that never reads: each comes to an end by its own deadline.
+func TestPlannedEndUnderTrouble(t *testing.T) {
+	t.Run("before it is ready", func(t *testing.T) {
+		_, stop, ended := startSidecar(t, testConfig(t, options{}, "127.0.0.1:1"))
+		stop()
+		if err := await(t, "the end", ended); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Run("an attempt that never ends", func(t *testing.T) {
+		t.Parallel() // it takes the request's whole time
+		u := newUpstream(t, always(""))
+		addr, stop, ended := startSidecar(t, testConfig(t, options{}, "127.0.0.1:1", registrytest.HostText("s-1", u.addr, "up", 0)))
+		held := call{class: "once", id: "held", timeout: "1.5"}.start(t, addr)
+		await(t, "the held one", u.requests)
+		stop()
+		if got := await(t, "its answer", held); got.status != http.StatusGatewayTimeout {
+			t.Errorf("the held one: %+v", got)
+		}
+		if err := await(t, "the end", ended); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Run("a client that never reads", func(t *testing.T) {
+		t.Parallel()
+		big := make([]byte, maxAnswerBody)
+		u := newUpstream(t, always(answer200(string(big))))
+		addr, stop, ended := startSidecar(t, testConfig(t, options{}, "127.0.0.1:1", registrytest.HostText("s-1", u.addr, "up", 0)))
+		c := dialFrom(t, "127.0.0.1", addr)
+		c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		call{class: "once", id: "unread", timeout: "0.5"}.request(t, addr).Write(c)
+		await(t, "the request", u.requests)
+		stop()
+		if err := await(t, "the end", ended); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// begin acts once, whatever comes later.
+func TestDrainBeginsOnce(t *testing.T) {
+	l := limitListener(listenLoopback(t), testLimits(1))
+	defer l.Close()
+	d := newDrain(l)
+	d.begin()
+	begun := d.begun
+	d.begin()
+	if d.begun != begun || d.phase() != draining {
+		t.Errorf("begun at %v and again at %v, phase %v", begun, d.begun, d.phase())
+	}
+	if done, err := d.next(); done || err != nil || d.phase() != finishing {
+		t.Errorf("then: done %v, error %v, phase %v", done, err, d.phase())
+	}
+	await(t, "the last connection's end", d.due())
+	if done, err := d.next(); !done || err != nil || d.phase() != over {
+		t.Errorf("at the end: done %v, error %v, phase %v", done, err, d.phase())
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -72,7 +72,9 @@
 	entry   client.Entry
 	peer    *peer
 	started time.Duration
-	probes  []*probe // in the order the module asked for them
+	probes  []*probe      // in the order the module asked for them
+	out     int           // attempts under way
+	drainAt time.Duration // since when it drains; 0: it does not
 }
 
 // names are the Request-Ids that are held. The loop alone changes them; the
@@ -297,6 +299,10 @@
 func (l *loop) attemptEnded(e ended) {
 	a, r := e.attempt, e.attempt.req
 	r.out--
+	if h := a.host; h != nil {
+		h.out--
+		l.drained(h)
+	}
 	r.timedOut = e.ending == policy.TimedOut
 	if e.ending == policy.Served {
 		l.finish(r.id, *e.answer)
@@ -314,7 +320,9 @@
 	for len(h.probes) > 0 && h.probes[0].done {
 		p := h.probes[0]
 		h.probes = h.probes[1:]
-		l.b.Probed(l.now, h.id, p.ok, p.load)
+		if p.ok || h.drainAt == 0 { // a probe that was not sent for the drain is no word against the host
+			l.b.Probed(l.now, h.id, p.ok, p.load)
+		}
 	}
 }
 
@@ -334,6 +342,9 @@
 		}
 	}
 	l.b.List(l.now, kind, servers)
+	for _, h := range l.hosts {
+		l.drain(h)
+	}
 	for name, h := range l.hosts {
 		if h.entry.Health == "removed" || (kind != policy.ListDelta && !named[name]) {
 			delete(l.hosts, name)
@@ -347,6 +358,30 @@
 	}
 }
 
+// drain puts into force what the list says of a host's drain: nothing new goes
+// there, what runs ends, and idle connections are closed; or all that is taken back.
+func (l *loop) drain(h *host) {
+	drains := h.entry.Health != "up"
+	switch {
+	case drains && h.drainAt == 0:
+		h.drainAt = l.now
+		l.up.pool.drain(h.peer)
+		slog.Info("upstream drains", "host", h.entry.Host, "running", h.out)
+		l.drained(h)
+	case !drains && h.drainAt != 0:
+		h.drainAt = 0
+		l.up.pool.resume(h.peer)
+		slog.Info("upstream's drain is called off", "host", h.entry.Host)
+	}
+}
+
+// drained says when a host that drains has nothing of ours any more.
+func (l *loop) drained(h *host) {
+	if h.drainAt != 0 && h.out == 0 {
+		slog.Info("upstream drained", "host", h.entry.Host, "after", l.now-h.drainAt)
+	}
+}
+
 // forgetSites lets go of the sites that the settings do not name and no host is at any more.
 func (l *loop) forgetSites() {
 	if len(l.sites) <= len(l.config.Zones)+len(l.hosts) {
@@ -380,7 +415,7 @@
 		l.hosts[e.Host], l.byID[h.id] = h, h
 	} else if h.entry.Dial != e.Dial || h.entry.BornMS != e.BornMS { // what was open to it leads nowhere now
 		l.up.pool.retire(h.peer)
-		h.peer = &peer{addr: e.Dial}
+		h.peer, h.drainAt = &peer{addr: e.Dial}, 0
 	}
 	// A start ahead of this machine's clock would keep an upstream cold for too
 	// long; it is taken for now, and stays so while the entry names the same start.
@@ -428,7 +463,8 @@
 		l.local = append(l.local, ended{attempt: a, ending: policy.NotSent})
 		return
 	}
-	a.to = h.peer
+	a.to, a.host = h.peer, h
+	h.out++
 	l.tasks.Go(func() {
 		ending, ans := l.up.try(a)
 		l.post(ended{a, ending, ans})
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -23,6 +23,7 @@
 	addr string
 
 	gone    bool
+	drains  bool                // it finishes what it has: no request is to be written to it
 	idle    queue.List[*conn]   // the most recently used last
 	waiting queue.List[*waiter] // the longest waiting first
 	blocked queue.Node[*peer]   // among those that a bound on all upstreams holds up
@@ -135,6 +136,7 @@
 	Stale       uint64 // closed by the upstream, or with bytes that nobody asked for
 	Distrusted  uint64 // idle to an upstream that fell silent
 	Retired     uint64 // to an upstream that has gone or was replaced
+	Drained     uint64 // to an upstream that drains
 }
 
 const (
@@ -158,6 +160,7 @@
 // Why the pool gave no connection, other than a handshake that failed.
 var (
 	errGone    = errors.New("the upstream has left the list")
+	errDrains  = errors.New("the upstream drains")
 	errBounded = errors.New("no connection within the limits in time")
 	errLate    = errors.New("the caller's own time was up before a connection came up")
 	errSilent  = errors.New("no connection came up in time")
@@ -221,14 +224,14 @@
 
 func (p *pool) takeOrWait(ctx context.Context, to *peer) (*conn, error) {
 	p.mu.Lock()
-	if n := to.idle.Back(); n != nil && !to.gone {
+	if n := to.idle.Back(); n != nil && to.closedTo() == nil {
 		c := n.Value
 		p.takeLocked(c)
 		p.count.Reused++
 		p.mu.Unlock()
 		return c, nil
 	}
-	if err := cmp.Or(to.left(), p.life.Err(), ctx.Err()); err != nil {
+	if err := cmp.Or(to.closedTo(), p.life.Err(), ctx.Err()); err != nil {
 		p.mu.Unlock()
 		return nil, err
 	}
@@ -272,10 +275,13 @@
 	c.peer.used(time.Now())
 }
 
-// left returns an error if the upstream has gone.
-func (to *peer) left() error {
-	if to.gone {
+// closedTo returns an error if the upstream is to get nothing new.
+func (to *peer) closedTo() error {
+	switch {
+	case to.gone:
 		return errGone
+	case to.drains:
+		return errDrains
 	}
 	return nil
 }
@@ -293,7 +299,7 @@
 // openLocked begins handshakes with an upstream while somebody waits for more
 // than are under way and the bounds allow.
 func (p *pool) openLocked(to *peer) {
-	for !to.gone && p.life.Err() == nil && to.waiting.Len() > to.dialing &&
+	for to.closedTo() == nil && p.life.Err() == nil && to.waiting.Len() > to.dialing &&
 		to.open < p.limits.PerServer && to.dialing < min(max(to.window, firstWindow), p.limits.HandshakesPerServer) {
 		if p.dialing >= p.limits.Handshakes || (p.open >= p.limits.Total && !p.evictLocked()) {
 			if to.blocked.Value = to; !to.blocked.In() {
@@ -398,6 +404,9 @@
 	case to.gone:
 		p.count.Retired++
 		p.closeLocked(c)
+	case to.drains:
+		p.count.Drained++
+		p.closeLocked(c)
 	case p.life.Err() != nil || p.open > p.limits.Total || to.open > p.limits.PerServer: // the limits are new
 		p.count.Evicted++
 		p.closeLocked(c)
@@ -467,6 +476,34 @@
 	}
 }
 
+// mayWrite says whether a request may be written to the upstream now. Between the
+// choice of an upstream and the write lies a handshake, and meanwhile the list may
+// have said that it drains.
+func (p *pool) mayWrite(to *peer) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return to.closedTo()
+}
+
+// drain closes the idle connections to an upstream that drains, and the others as
+// they are given back; those that wait for one are told at once. If the drain is
+// called off, resume takes it back.
+func (p *pool) drain(to *peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !to.drains {
+		to.drains = true
+		p.shutLocked(to, errDrains, &p.count.Drained)
+	}
+}
+
+// resume lets an upstream be used again that was drained.
+func (p *pool) resume(to *peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	to.drains = false
+}
+
 // retire closes the idle connections to a host that has gone, and from now on
 // every other that is given back. Whoever is at its address next has its own.
 // Those that wait for one are told at once.
@@ -474,12 +511,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	to.gone = true
+	p.shutLocked(to, errGone, &p.count.Retired)
+}
+
+func (p *pool) shutLocked(to *peer, why error, counter *uint64) {
 	to.blocked.Remove()
 	for n := to.idle.Front(); n != nil; n = to.idle.Front() {
-		p.count.Retired++
+		*counter++
 		p.closeLocked(n.Value)
 	}
-	for p.giveLocked(to, got{err: errGone}) {
+	for p.giveLocked(to, got{err: why}) {
 	}
 	p.unblockLocked()
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -64,7 +64,8 @@
 	loops.Go(func() { l.run(run) })
 	loops.Go(func() { sweep(run, pool) })
 
-	server := newClients(c, l, limited).server()
+	ending := newDrain(limited)
+	server := newClients(c, l, ending).server()
 	defer server.Close()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(limited) }()
@@ -74,8 +75,13 @@
 		case err := <-served:
 			return fmt.Errorf("serve: %w", err)
 		case <-stop.Done():
-			return shutDown(server, limited)
-		case <-reload:
+			stop = context.Background() // once: a second signal changes nothing
+			ending.begin()
+		case <-ending.due():
+			if done, err := ending.next(); done || err != nil {
+				return err
+			}
+		case <-reload: // also while it drains: discovery may move, and answers are owed still
 			was := c.discoveryAddrs()
 			if err := c.reload(); err != nil {
 				slog.Error("configuration: the old one stays in force", "err", err)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -82,7 +82,7 @@
 	go l.run(t.Context())
 	limited := limitListener(listenLoopback(t), testLimits(4))
 	defer limited.Close()
-	s := newClients(l.config, l, limited)
+	s := newClients(l.config, l, newDrain(limited))
 	serve := func(c *clientConn) (aborted bool) {
 		defer func() { aborted = recover() == http.ErrAbortHandler }()
 		req := call{class: "once"}.request(t, "127.0.0.1:1")
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -40,6 +40,7 @@
 	req    *request
 	number int
 	to     *peer
+	host   *host           // the loop's; nil where it was never sent
 	ctx    context.Context // ends when the attempt is given up
 	cancel context.CancelFunc
 }
@@ -92,10 +93,11 @@
 }
 
 // unsent says whether an attempt that got no connection is no word against the
-// upstream: nobody waited for it any more, the upstream has left the list, or the
-// limits here had no connection to give.
+// upstream: nobody waited for it any more, the upstream drains or has left the
+// list, or the limits here had no connection to give.
 func unsent(ctx context.Context, err error) bool {
-	return errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errLate) || errors.Is(err, errBounded) || errors.Is(err, errGone)
+	return errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errLate) || errors.Is(err, errBounded) ||
+		errors.Is(err, errGone) || errors.Is(err, errDrains)
 }
 
 // exchange writes one request and reads the whole answer. It takes the
@@ -127,6 +129,10 @@
 	if err := ctx.Err(); err != nil {
 		return nil, nil, written, err
 	}
+	// Nor may one to an upstream that was told to drain since it was chosen.
+	if err := u.pool.mayWrite(c.peer); err != nil {
+		return nil, nil, written, err
+	}
 	begun := time.Now()
 	if n, err := c.Write(b.out.Bytes()); n < b.out.Len() {
 		return nil, nil, written, fmt.Errorf("write request: %w", err)
--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -303,6 +304,10 @@
 }
 
 func (b *booking) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if q.URL.Path == "/stats" {
+		fmt.Fprintf(w, "TEXT inflight=%d, queue=0", b.held())
+		return
+	}
 	id := q.Header.Get("Request-Id")
 	if id == "" {
 		http.NotFound(w, q)
@@ -333,6 +338,20 @@
 	return n
 }
 
+// held is how many requests it has.
+func (b *booking) held() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.running
+}
+
+// lastBegin is when it began a request last.
+func (b *booking) lastBegin() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.last
+}
+
 // register keeps the server in the registry's list until the test ends.
 func (b *booking) register(t testing.TB, c *client.Client, ttl time.Duration) {
 	t.Helper()
@@ -406,6 +425,7 @@
 	mu     sync.Mutex
 	served map[string]bool
 	other  map[string]string // id: what it got instead
+	gates  map[*sidecarProcess]*sync.RWMutex
 }
 
 var methods = map[string]string{"read": http.MethodGet, "keyed": http.MethodPost, "once": http.MethodPost}
@@ -414,7 +434,10 @@
 func startLoad(t testing.TB, clients int, sidecars ...*sidecarProcess) *load {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &load{stop: cancel, served: make(map[string]bool), other: make(map[string]string)}
+	l := &load{stop: cancel, served: make(map[string]bool), other: make(map[string]string), gates: make(map[*sidecarProcess]*sync.RWMutex)}
+	for _, s := range sidecars {
+		l.gates[s] = new(sync.RWMutex)
+	}
 	for i, s := range sidecars {
 		for j := range clients {
 			l.clients.Go(func() {
@@ -423,8 +446,10 @@
 				for n := 0; ctx.Err() == nil; n++ {
 					class := []string{"read", "keyed", "once"}[(n+j)%3]
 					id := fmt.Sprintf("%d-%d-%d-%s", i, j, n, class)
+					l.gates[s].RLock()
 					l.sent.Add(1)
-					got := askOnce(c, s.addr, id, class)
+					gate := l.gates[s].RUnlock
+					got := askOnce(c, s.addr, id, class, gate)
 					l.mu.Lock()
 					if got == "done "+id {
 						l.served[id] = true
@@ -443,33 +468,58 @@
 	return l
 }
 
-// askOnce sends one request as a client does. A request on a kept connection that
-// proves closed is sent once more on a new one, as the protocol says; net/http does
-// that where it has read nothing.
-func askOnce(c *http.Client, addr, id, class string) string {
-	req, err := http.NewRequest(methods[class], "http://"+addr+"/api", nil)
+// askOnce sends one request as a client does: a request on a kept connection that
+// proves to be closed is sent once more on a new one, as the protocol says. sent is
+// called when it has been written.
+func askOnce(c *http.Client, addr, id, class string, sent func()) string {
+	written := sync.OnceFunc(sent)
+	defer written()
+	got, reused, err := try(c, addr, id, class, written)
+	if err != nil && reused {
+		c.CloseIdleConnections()
+		got, _, err = try(c, addr, id, class, written)
+	}
 	if err != nil {
 		return err.Error()
 	}
+	return got
+}
+
+// try sends a request once, and says whether it was on a kept connection.
+func try(c *http.Client, addr, id, class string, written func()) (got string, reused bool, err error) {
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		GotConn:      func(i httptrace.GotConnInfo) { reused = i.Reused },
+		WroteRequest: func(httptrace.WroteRequestInfo) { written() },
+	})
+	req, err := http.NewRequestWithContext(ctx, methods[class], "http://"+addr+"/api", nil)
+	if err != nil {
+		return "", false, err
+	}
 	req.Header = http.Header{"Request-Id": {id}, "Request-Class": {class}, "Request-Timeout": {"4.5"}}
 	if class == "keyed" {
 		req.Header.Set("Idempotency-Key", id)
 	}
 	resp, err := c.Do(req)
 	if err != nil {
-		return err.Error()
+		return "", reused, err
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return err.Error()
+		return "", false, err // an answer had begun
 	}
 	if resp.StatusCode != http.StatusOK {
-		return strconv.Itoa(resp.StatusCode)
+		return strconv.Itoa(resp.StatusCode), false, nil
 	}
-	return string(text)
+	return string(text), false, nil
 }
 
+// pause lets a sidecar's clients send nothing more until resume; what they have
+// sent goes on. A client and its sidecar end together, so between a sidecar's end and
+// its return there is nobody who asks.
+func (l *load) pause(s *sidecarProcess)  { l.gates[s].Lock() }
+func (l *load) resume(s *sidecarProcess) { l.gates[s].Unlock() }
+
 // end stops the load and waits for the last answer.
 func (l *load) end() {
 	l.stop()
