Let a new process take a sidecar's place without a gap, off unless the configuration says so

Need: a restart has a moment without a listener, and a new process that fails takes the service with it.

Change: with 'takeover' in the configuration, a new process fetches the listening socket over a Unix socket, gets its list and reports ready; only then does the old one stop accepting and finish.

--- a/internal/sidecar/client_test.go
+++ b/internal/sidecar/client_test.go
@@ -444,6 +444,7 @@
 	go l.run(t.Context())
 	ln, served := listenLoopback(t), make(chan struct{})
 	limited := limitListener(ln, testLimits(4))
+	limited.begin()
 	s := newClients(l.config, l, newDrain(limited))
 	server := s.server()
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -34,6 +35,7 @@
 	DialTimeout time.Duration    // a connection not made by then never comes
 	ConnIdle    time.Duration    // upstreams close a connection that was idle this long
 	Connections connectionLimits // how many connections, on both sides
+	Takeover    *takeoverConfig  // how a new process takes this one's place; nil: it does not
 }
 
 // Limits are the platform's limits on this process.
@@ -143,6 +145,7 @@
 		Settings  json.RawMessage `json:"settings"`
 
 		Connections json.RawMessage `json:"connections"`
+		Takeover    json.RawMessage `json:"takeover"`
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, err
@@ -183,6 +186,17 @@
 	if c.Limits.Sockets < leastSockets {
 		return nil, fmt.Errorf("limits: %d sockets, at least %d are needed", c.Limits.Sockets, leastSockets)
 	}
+	if len(f.Takeover) > 0 {
+		c.Takeover = new(takeoverConfig)
+		d := json.NewDecoder(bytes.NewReader(f.Takeover))
+		d.DisallowUnknownFields()
+		if err := d.Decode(c.Takeover); err != nil {
+			return nil, fmt.Errorf("takeover: %w", err)
+		}
+		if err := c.Takeover.check(); err != nil {
+			return nil, err
+		}
+	}
 	said, err := parseConnections(f.Connections)
 	if err != nil {
 		return nil, err
--- a/internal/sidecar/connections_test.go
+++ b/internal/sidecar/connections_test.go
@@ -173,7 +173,7 @@
 	c.Connections.Clients = testLimits(8)
 	stop, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- serve(stop, nil, c, ln) }()
+	go func() { ended <- serve(stop, nil, c, ln, nil) }()
 	addr := ln.Addr().String()
 	var clients sync.WaitGroup
 	for _, text := range []string{
@@ -220,6 +220,7 @@
 func TestGivingUpAgainstTaking(t *testing.T) {
 	ln := listenLoopback(t)
 	l := limitListener(ln, testLimits(1))
+	l.begin()
 	defer l.Close()
 	for range 200 {
 		nc, err := net.Dial("tcp", ln.Addr().String())
@@ -635,6 +636,7 @@
 	t.Parallel() // it takes the time for a header
 	ln := listenLoopback(t)
 	l := limitListener(ln, testLimits(4))
+	l.begin()
 	defer l.Close()
 	dialFrom(t, "127.0.0.1", ln.Addr().String())
 	dialFrom(t, "127.0.0.1", ln.Addr().String()).Close()
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -71,6 +71,18 @@
 	time.AfterFunc(lastConnections, func() { close(d.last) })
 }
 
+// hand starts the end where a new process takes all that comes from now on: there
+// is nothing to wait for but what was taken.
+func (d *drain) hand() error {
+	d.begun = time.Now()
+	d.listener.drain()
+	if err := d.listener.stopAccepting(); err != nil {
+		return fmt.Errorf("stop listening: %w", err)
+	}
+	d.enter(finishing)
+	return nil
+}
+
 // due has a value, or is closed, when the next phase is to begin.
 func (d *drain) due() <-chan struct{} {
 	switch d.phase() {
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -235,6 +235,7 @@
 // begin acts once, whatever comes later.
 func TestDrainBeginsOnce(t *testing.T) {
 	l := limitListener(listenLoopback(t), testLimits(1))
+	l.begin()
 	defer l.Close()
 	d := newDrain(l)
 	d.begin()
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -48,7 +48,7 @@
 // limitedListener hands connections to the HTTP server that have a place and
 // have begun to speak. A connection that says nothing costs a small goroutine and
 // none of the server's buffers. Where there is no place a few wait for one, the
-// one whose client holds the least first.
+// one whose client holds the least first. It takes none before begin is called.
 type limitedListener struct {
 	inner net.Listener
 	ready chan *clientConn
@@ -88,10 +88,12 @@
 		defer l.mu.Unlock()
 		l.serveWaiting(time.Now())
 	})
-	l.tasks.Go(l.accept)
 	return l
 }
 
+// begin takes connections from now on.
+func (l *limitedListener) begin() { l.tasks.Go(l.accept) }
+
 // Addr is the address that is listened on.
 func (l *limitedListener) Addr() net.Addr { return l.inner.Addr() }
 
--- a/internal/sidecar/load_test.go
+++ b/internal/sidecar/load_test.go
@@ -205,3 +205,35 @@
 	}
 	return float64(m.HeapAlloc + m.StackInuse), float64(len(names))
 }
+
+// BenchmarkLoadDrain tells how long a planned end takes, in parts of what the
+// longest request that runs still needs. A part of it is the protocol's: connections
+// come for 0.4 s.
+func BenchmarkLoadDrain(b *testing.B) {
+	for _, rest := range []time.Duration{time.Second, 3 * time.Second} {
+		b.Run(rest.String(), func(b *testing.B) {
+			slog.SetDefault(slog.New(slog.DiscardHandler))
+			var ratio, rounds float64
+			for b.Loop() {
+				u := newUpstream(b, func(received) (string, bool) { time.Sleep(rest); return answer200("ok"), false })
+				addr, stop, ended := startSidecar(b, testConfig(b, options{}, "127.0.0.1:1", registrytest.HostText("s-1", u.addr, "up", 0)))
+				c := newLoadClient(b, addr)
+				if err := c.send(loadIDs.Add(1)); err != nil {
+					b.Fatal(err)
+				}
+				<-u.requests
+				begun := time.Now()
+				stop()
+				if err := c.read(); err != nil {
+					b.Fatal(err)
+				}
+				<-ended
+				ratio += float64(time.Since(begun)) / float64(rest)
+				rounds++
+				c.Close()
+			}
+			b.ReportMetric(ratio/rounds, "rest/rest")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -56,6 +56,8 @@
 	}
 	listed     struct{ news client.Listing }
 	listFailed struct{}
+	leaving    struct{ held chan<- []policy.Held } // a new process takes this one's place
+	beside     struct{ held []policy.Held }        // what the old one still holds
 )
 
 // probe is one probe that was asked for; its result waits for those before it.
@@ -190,6 +192,21 @@
 	}
 }
 
+// leave gives up what this process does not need any more, and returns what it
+// keeps; nothing once the loop has ended.
+func (l *loop) leave() []policy.Held {
+	held := make(chan []policy.Held, 1)
+	if !l.post(leaving{held}) {
+		return nil
+	}
+	select {
+	case h := <-held:
+		return h
+	case <-l.life.Done():
+		return nil
+	}
+}
+
 // run handles events until ctx ends, and then ends all that is under way.
 func (l *loop) run(ctx context.Context) {
 	defer l.tasks.Wait()
@@ -261,6 +278,10 @@
 		l.list(kind, e.news)
 	case listFailed:
 		l.b.List(l.now, policy.ListFailed, nil)
+	case leaving:
+		e.held <- l.b.Leave()
+	case beside:
+		l.b.Beside(l.now, e.held)
 	}
 }
 
--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -169,7 +169,7 @@
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
-		done <- serve(ctx, reload, c, ln)
+		done <- serve(ctx, reload, c, ln, nil)
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,21 +14,35 @@
 	"time"
 
 	"mothridge/internal/registry/client"
+	"mothridge/policy"
 )
 
 const sweepEvery = time.Second
 
 // Run listens and serves until stop is done, then finishes what was taken. At
-// each value of reload it reads its configuration again.
+// each value of reload it reads its configuration again. Where the configuration
+// says how, it takes the place of a process that serves already, and lets another
+// take its own.
 func Run(stop context.Context, reload <-chan os.Signal, c *Config) error {
+	if c.Takeover != nil {
+		old, err := reach(c)
+		if err != nil {
+			return err
+		}
+		if old != nil {
+			defer old.close()
+			return serve(stop, reload, c, old.listener, old)
+		}
+	}
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
-	return serve(stop, reload, c, ln)
+	return serve(stop, reload, c, ln, nil)
 }
 
-func serve(stop context.Context, reload <-chan os.Signal, c *Config, ln net.Listener) error {
+// serve runs a sidecar on a listener, and in the place of an old process if there is one.
+func serve(stop context.Context, reload <-chan os.Signal, c *Config, ln net.Listener, old *predecessor) error {
 	defer ln.Close()
 	pool := newPool(c.DialTimeout, c.ConnIdle, c.Connections.Servers, c.Seed)
 	defer pool.close()
@@ -69,13 +83,61 @@
 	defer server.Close()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(limited) }()
-	slog.Info("serving", "name", c.Name, "listen", c.Listen, "balancers", c.Policy.Balancers)
+	took := make(chan error, 1)
+	if old == nil {
+		limited.begin()
+		took <- nil
+	} else {
+		slog.Info("taking over", "name", c.Name, "listen", c.Listen)
+		loops.Go(func() {
+			err := old.takePlace(run, c.Takeover.readyIn(), l.ready.Load, func() {
+				limited.begin()
+				took <- nil
+			}, func(held []policy.Held) { l.post(beside{held}) })
+			if err != nil {
+				took <- err
+			}
+		})
+	}
+	inPlace := false // it serves, or did
+	var offered *handover
+	var asked <-chan *successor
+	defer func() {
+		if offered != nil {
+			offered.close()
+		}
+	}()
 	for {
 		select {
 		case err := <-served:
 			return fmt.Errorf("serve: %w", err)
+		case err := <-took:
+			if err != nil {
+				return err
+			}
+			inPlace = true
+			slog.Info("serving", "name", c.Name, "listen", c.Listen, "balancers", c.Policy.Balancers)
+			if c.Takeover == nil {
+				continue
+			}
+			if offered, err = offer(c, ln); err != nil {
+				slog.Error("no new process can take this one's place", "err", err)
+				continue
+			}
+			asked = offered.asked
+		case next := <-asked:
+			asked = nil
+			if err := ending.hand(); err != nil {
+				return err
+			}
+			stop = context.Background() // it ends as it is
+			loops.Go(func() { next.tell(run, l.leave) })
 		case <-stop.Done():
+			if !inPlace && len(took) == 0 {
+				return nil // the old process goes on
+			}
 			stop = context.Background() // once: a second signal changes nothing
+			asked = nil                 // a new process would come too late
 			ending.begin()
 		case <-ending.due():
 			if done, err := ending.next(); done || err != nil {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -81,6 +81,7 @@
 	l := newTestLoop(t, registrytest.HostText("s-1", u.addr, "up", 0))
 	go l.run(t.Context())
 	limited := limitListener(listenLoopback(t), testLimits(4))
+	limited.begin()
 	defer limited.Close()
 	s := newClients(l.config, l, newDrain(limited))
 	serve := func(c *clientConn) (aborted bool) {
--- /dev/null
+++ b/internal/sidecar/takeover.go
@@ -0,0 +1,410 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"mothridge/policy"
+)
+
+// Take-over: a new process takes the place of one that serves, without a gap. The
+// old one hands its listening socket over a Unix socket, which the configuration
+// names, so that connections that wait to be accepted are never refused or reset.
+// The new process is started by whoever starts sidecars, with limits and a
+// configuration of its own; nothing is forked, and if it fails at any point before
+// it is ready the old one goes on as if nothing had been.
+//
+//	new -> old   hello: who it is
+//	old -> new   the listening socket
+//	new -> old   ready: it holds a list, and waits
+//	old -> new   yours: the old one accepts no more
+//	old -> new   what the old one still holds, again and again until it ends
+
+// takeoverConfig is the configuration's optional object 'takeover'.
+type takeoverConfig struct {
+	Socket  string `json:"socket"`   // the path of the Unix socket; its folder is the operator's to guard
+	ReadyMS int64  `json:"ready_ms"` // how long a new process may take to be ready
+}
+
+const (
+	// defaultReady is as long as a platform waits for a sidecar at the start of a run.
+	defaultReady = 30 * time.Second
+	// answerIn is for one message between two processes on one machine.
+	answerIn = 2 * time.Second
+	// heldEvery is how often the old process says what it still holds. Until the new
+	// one hears of a slot that has come free it does without it.
+	heldEvery  = 20 * time.Millisecond
+	readyPoll  = 5 * time.Millisecond // a list comes in some milliseconds
+	maxMessage = 64 << 10
+	// maxSocketPath is what the kernel takes.
+	maxSocketPath = 107
+)
+
+func (t *takeoverConfig) check() error {
+	switch {
+	case !filepath.IsAbs(t.Socket):
+		return fmt.Errorf("takeover.socket is %q, an absolute path is needed", t.Socket)
+	case len(t.Socket) > maxSocketPath-len(socketSuffix):
+		return fmt.Errorf("takeover.socket has %d bytes, %d at most", len(t.Socket), maxSocketPath-len(socketSuffix))
+	case t.ReadyMS < 0:
+		return fmt.Errorf("takeover.ready_ms is %d, it must not be negative", t.ReadyMS)
+	}
+	return nil
+}
+
+func (t *takeoverConfig) readyIn() time.Duration {
+	if t.ReadyMS == 0 {
+		return defaultReady
+	}
+	return time.Duration(t.ReadyMS) * time.Millisecond
+}
+
+// message is one line between the two processes.
+type message struct {
+	Kind   string        `json:"kind"`
+	Name   string        `json:"name,omitempty"`
+	Listen string        `json:"listen,omitempty"`
+	Held   []policy.Held `json:"held,omitempty"`
+	Error  string        `json:"error,omitempty"`
+}
+
+// The kinds of messages.
+const (
+	msgHello  = "hello"
+	msgSocket = "socket"
+	msgReady  = "ready"
+	msgYours  = "yours"
+	msgHeld   = "held"
+	msgError  = "error"
+)
+
+func send(c *net.UnixConn, m message, rights []byte) error {
+	text, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	c.SetWriteDeadline(time.Now().Add(answerIn))
+	_, _, err = c.WriteMsgUnix(append(text, '\n'), rights, nil)
+	return err
+}
+
+// receive reads the next message, which has to be of one kind.
+func receive(c *net.UnixConn, in *bufio.Reader, kind string, within time.Duration) (message, error) {
+	var m message
+	c.SetReadDeadline(time.Now().Add(within))
+	line, err := in.ReadSlice('\n')
+	if err != nil {
+		return m, err
+	}
+	if err := json.Unmarshal(line, &m); err != nil {
+		return m, fmt.Errorf("take-over: %w", err)
+	}
+	if m.Kind == msgError {
+		return m, fmt.Errorf("take-over: the other process says: %s", m.Error)
+	}
+	if m.Kind != kind {
+		return m, fmt.Errorf("take-over: %.32q came, not %q", m.Kind, kind)
+	}
+	return m, nil
+}
+
+// predecessor is the process whose place this one takes.
+type predecessor struct {
+	conn     *net.UnixConn
+	in       *bufio.Reader
+	listener net.Listener
+}
+
+// reach asks the process that serves now, if there is one, for its listening socket.
+func reach(c *Config) (*predecessor, error) {
+	d := net.Dialer{Timeout: answerIn}
+	nc, err := d.Dial("unix", c.Takeover.Socket)
+	if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, nil // nobody serves, or nobody any more
+	}
+	if err != nil {
+		return nil, fmt.Errorf("take-over: %w", err)
+	}
+	p := &predecessor{conn: nc.(*net.UnixConn)}
+	if err := p.take(c); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *predecessor) take(c *Config) error {
+	if err := send(p.conn, message{Kind: msgHello, Name: c.Name, Listen: c.Listen}, nil); err != nil {
+		return fmt.Errorf("take-over: %w", err)
+	}
+	// The socket comes with the message's first byte, and with no other.
+	p.conn.SetReadDeadline(time.Now().Add(answerIn))
+	text, rights := make([]byte, maxMessage), make([]byte, syscall.CmsgSpace(4))
+	n, r, _, _, err := p.conn.ReadMsgUnix(text, rights)
+	if err != nil {
+		return fmt.Errorf("take-over: %w", err)
+	}
+	fd, err := oneSocket(rights[:r])
+	var m message
+	if bad := json.Unmarshal(text[:n], &m); bad != nil {
+		err = errors.Join(err, bad)
+	} else if m.Kind == msgError {
+		err = fmt.Errorf("the other process says: %s", m.Error)
+	} else if m.Kind != msgSocket {
+		err = errors.Join(err, fmt.Errorf("%.32q came, not %q", m.Kind, msgSocket))
+	}
+	if err != nil {
+		if fd >= 0 {
+			syscall.Close(fd)
+		}
+		return fmt.Errorf("take-over: %w", err)
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close()
+	if p.listener, err = net.FileListener(f); err != nil {
+		return fmt.Errorf("take-over: %w", err)
+	}
+	p.in = bufio.NewReaderSize(p.conn, maxMessage)
+	return nil
+}
+
+// oneSocket reads the one descriptor that comes with a message, or returns -1.
+func oneSocket(rights []byte) (int, error) {
+	messages, err := syscall.ParseSocketControlMessage(rights)
+	if err != nil {
+		return -1, err
+	}
+	if len(messages) != 1 {
+		return -1, fmt.Errorf("%d control messages, one is needed", len(messages))
+	}
+	fds, err := syscall.ParseUnixRights(&messages[0])
+	if err != nil {
+		return -1, err
+	}
+	for _, fd := range fds[min(1, len(fds)):] {
+		syscall.Close(fd)
+	}
+	if len(fds) == 0 {
+		return -1, errors.New("no socket came")
+	}
+	syscall.CloseOnExec(fds[0])
+	return fds[0], nil
+}
+
+// ready tells the old process that this one could serve, waits until it may, and
+// returns what the old one still holds.
+func (p *predecessor) ready() ([]policy.Held, error) {
+	if err := send(p.conn, message{Kind: msgReady}, nil); err != nil {
+		return nil, fmt.Errorf("take-over: %w", err)
+	}
+	m, err := receive(p.conn, p.in, msgYours, answerIn)
+	return m.Held, err
+}
+
+// follow hears what the old process still holds, until it ends.
+func (p *predecessor) follow(beside func(held []policy.Held)) {
+	defer beside(nil)
+	for {
+		m, err := receive(p.conn, p.in, msgHeld, answerIn)
+		if err != nil {
+			return
+		}
+		beside(m.Held)
+	}
+}
+
+func (p *predecessor) close() { p.conn.Close() }
+
+// takePlace waits until this process has a list, then takes the place of the old one,
+// and passes on what that still holds until it ends. begin is called when this one
+// may accept.
+func (p *predecessor) takePlace(
+	ctx context.Context, within time.Duration, isReady func() bool, begin func(), beside func(held []policy.Held),
+) error {
+	defer context.AfterFunc(ctx, p.close)()
+	waiting, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	t := time.NewTicker(readyPoll)
+	defer t.Stop()
+	for !isReady() {
+		select {
+		case <-t.C:
+		case <-waiting.Done():
+			return fmt.Errorf("take-over: no list within %v: %w", within, waiting.Err())
+		}
+	}
+	held, err := p.ready()
+	if err != nil {
+		return err
+	}
+	beside(held)
+	begin()
+	p.follow(beside)
+	return nil
+}
+
+// handover is the old process's side: it waits for a new one, one at a time.
+type handover struct {
+	socket *net.UnixListener
+	config *Config
+	raw    syscall.RawConn // of the listening socket
+	// asked is sent one value when a new process is ready; the owner answers it by
+	// calling yours, once it accepts no more.
+	asked chan *successor
+	tasks sync.WaitGroup
+
+	mu     sync.Mutex
+	next   *net.UnixConn // the process that is trying
+	over   bool
+	handed bool // the path of the socket is the new process's
+}
+
+// successor is a new process that is ready.
+type successor struct {
+	conn *net.UnixConn
+	gone chan struct{} // closed when nothing more is to be told
+}
+
+// socketSuffix names the socket while it is being made: it gets its name when it
+// is ready to be reached.
+const socketSuffix = ".new"
+
+func offer(c *Config, ln net.Listener) (*handover, error) {
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		return nil, fmt.Errorf("take-over: a listener of kind %T, TCP is needed", ln)
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("take-over: %w", err)
+	}
+	fresh := c.Takeover.Socket + socketSuffix
+	os.Remove(fresh) // left by one that was killed
+	s, err := net.ListenUnix("unix", &net.UnixAddr{Name: fresh, Net: "unix"})
+	if err != nil {
+		return nil, fmt.Errorf("take-over: %w", err)
+	}
+	s.SetUnlinkOnClose(false) // by then it may be the next process's
+	if err := errors.Join(os.Chmod(fresh, 0o600), os.Rename(fresh, c.Takeover.Socket)); err != nil {
+		s.Close()
+		return nil, fmt.Errorf("take-over: %w", err)
+	}
+	h := &handover{socket: s, config: c, raw: raw, asked: make(chan *successor)}
+	h.tasks.Go(h.serve)
+	return h, nil
+}
+
+// close ends the offer, and what a new process has begun.
+func (h *handover) close() {
+	h.mu.Lock()
+	h.over = true
+	h.socket.Close()
+	if !h.handed {
+		os.Remove(h.config.Takeover.Socket)
+	}
+	if h.next != nil {
+		h.next.Close()
+	}
+	h.mu.Unlock()
+	h.tasks.Wait()
+}
+
+func (h *handover) serve() {
+	for {
+		c, err := h.socket.AcceptUnix()
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				slog.Error("take-over: no new process can come any more", "err", err)
+			}
+			return
+		}
+		h.mu.Lock()
+		busy := h.next != nil || h.over
+		if !busy {
+			h.next = c
+		}
+		h.mu.Unlock()
+		if busy {
+			send(c, message{Kind: msgError, Error: "another process is taking over"}, nil)
+			c.Close()
+			continue
+		}
+		h.tasks.Go(func() {
+			err := h.hand(c)
+			c.Close()
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			if h.next = nil; err != nil && !h.over {
+				slog.Warn("take-over: the new process has failed, this one goes on", "err", err)
+			}
+		})
+	}
+}
+
+// hand gives a new process the socket, and tells the owner when it is ready. It
+// returns when the new one has failed, or when the owner has nothing more to tell.
+func (h *handover) hand(c *net.UnixConn) error {
+	in := bufio.NewReaderSize(c, maxMessage)
+	m, err := receive(c, in, msgHello, answerIn)
+	if err != nil {
+		return err
+	}
+	if m.Name != h.config.Name || m.Listen != h.config.Listen {
+		err := fmt.Errorf("this is %s at %s, not %.64q at %.64q", h.config.Name, h.config.Listen, m.Name, m.Listen)
+		send(c, message{Kind: msgError, Error: err.Error()}, nil)
+		return err
+	}
+	var sent error
+	if err := h.raw.Control(func(fd uintptr) { // not by File(), which would make the socket block for both
+		sent = send(c, message{Kind: msgSocket}, syscall.UnixRights(int(fd)))
+	}); err != nil || sent != nil {
+		return errors.Join(err, sent)
+	}
+	if _, err := receive(c, in, msgReady, h.config.Takeover.readyIn()); err != nil {
+		return fmt.Errorf("it is not ready: %w", err)
+	}
+	s := &successor{conn: c, gone: make(chan struct{})}
+	select {
+	case h.asked <- s:
+		h.mu.Lock()
+		h.handed = true
+		h.mu.Unlock()
+	case <-time.After(answerIn):
+		return errors.New("this process is ending by itself")
+	}
+	<-s.gone
+	return nil
+}
+
+// tell says that the socket is the new process's, and then what this one still
+// holds, until ctx ends.
+func (s *successor) tell(ctx context.Context, held func() []policy.Held) {
+	defer close(s.gone)
+	kind := msgYours
+	t := time.NewTicker(heldEvery)
+	defer t.Stop()
+	for {
+		if err := send(s.conn, message{Kind: kind, Held: held()}, nil); err != nil {
+			if !errors.Is(err, net.ErrClosed) { // which means that this process has ended what it had
+				slog.Warn("take-over: the new process does not listen any more", "err", err)
+			}
+			return
+		}
+		kind = msgHeld
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -573,3 +573,14 @@
 	}
 	return len(l.served), refused, lost
 }
+
+// alive says whether the process has not ended.
+func (p *process) alive() bool {
+	select {
+	case err := <-p.ended:
+		p.ended <- err
+		return false
+	default:
+		return true
+	}
+}
--- a/policy/coldstart.go
+++ b/policy/coldstart.go
@@ -26,7 +26,7 @@
 // mayWarm says whether a server is warm, or else has a part of its budget left for
 // a request of this balancer.
 func (b *Balancer) mayWarm(now time.Duration, r *request, s *server) bool {
-	return now >= s.warmAt || (now >= s.coldAt && !b.spared(s) && b.workShare(r) <= mostCharge)
+	return now >= s.warmAt || (!b.shared && now >= s.coldAt && !b.spared(s) && b.workShare(r) <= mostCharge)
 }
 
 // charge takes a request out of this balancer's part of a cold server's budget.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -119,7 +119,7 @@
 	}
 	switch {
 	case b.dispatch(now, r):
-	case late || len(r.home.queue) >= r.home.places:
+	case late || len(r.home.queue)+r.home.lent.Places >= r.home.places:
 		b.finish(r) // full: refuse promptly
 	default:
 		r.home.queue = append(r.home.queue, r)
@@ -198,7 +198,7 @@
 
 // dispatch sends a request if a slot of its compartment and a server are free.
 func (b *Balancer) dispatch(now time.Duration, r *request) bool {
-	if r.home.used >= r.home.slots {
+	if r.home.full() {
 		return false
 	}
 	s := b.pick(now, r)
@@ -245,7 +245,7 @@
 	b.feedFrom = (b.feedFrom + 1) % len(b.parts)
 	for i := range b.parts {
 		c := &b.parts[(b.feedFrom+i)%len(b.parts)]
-		for n := 0; n < len(c.queue) && c.used < c.slots; {
+		for n := 0; n < len(c.queue) && !c.full(); {
 			switch r := c.queue[n]; {
 			case now >= r.lateIn():
 				b.finish(r) // which takes it out of the queue
--- a/policy/state.go
+++ b/policy/state.go
@@ -63,6 +63,7 @@
 // compartment holds one tenant's slots and queue, walled off from the others'.
 type compartment struct {
 	slots, used, places int
+	lent                Held // of them, to another process of this sidecar
 	queue               []*request
 }
 
@@ -96,6 +97,7 @@
 	askAt      time.Duration // when to ask for the list next; 0: no need
 	askFails   int
 	feedFrom   int
+	shared     bool // another process of this sidecar lives
 	thin       bool // own traffic tells too little of a server's load
 	probes     int
 	zones      map[int]*zone
@@ -113,7 +115,7 @@
 	if tenant < 0 || tenant >= len(b.parts) {
 		return 0
 	}
-	return b.parts[tenant].slots - b.parts[tenant].used
+	return max(0, b.parts[tenant].slots-b.parts[tenant].lent.Slots-b.parts[tenant].used)
 }
 
 // QueueFree returns the free queue places in a tenant's compartment; 0 for a tenant that does not exist.
@@ -121,7 +123,7 @@
 	if tenant < 0 || tenant >= len(b.parts) {
 		return 0
 	}
-	return max(0, b.parts[tenant].places-len(b.parts[tenant].queue))
+	return max(0, b.parts[tenant].places-b.parts[tenant].lent.Places-len(b.parts[tenant].queue))
 }
 
 // ran returns the first attempt that may have run or still may, or nil.
--- /dev/null
+++ b/policy/takeover.go
@@ -0,0 +1,46 @@
+package policy
+
+import "time"
+
+// Take-over: a new process takes a sidecar's place while the old one still has
+// requests. For the servers both are one balancer: together they keep to its slots,
+// its queue places and its part of a cold server's budget.
+
+// Held is what one compartment holds of its slots and queue places.
+type Held struct{ Slots, Places int }
+
+// Leave gives up what this Balancer does not need to end what it has, and returns
+// what it keeps, by tenant; that never grows again. Cold servers get nothing more:
+// their budget is the other's from now on.
+func (b *Balancer) Leave() []Held {
+	b.shared = true
+	held := make([]Held, len(b.parts))
+	for i := range b.parts {
+		c := &b.parts[i]
+		c.slots = min(c.slots, c.used+len(c.queue))
+		c.places = min(c.places, len(c.queue))
+		held[i] = Held{c.slots, c.places}
+	}
+	return held
+}
+
+// Beside takes what the other process keeps, by tenant; nothing where it has ended.
+// Until then cold servers get nothing: it may have spent their budget a moment ago.
+func (b *Balancer) Beside(now time.Duration, held []Held) {
+	for i := range b.parts {
+		b.parts[i].lent = Held{}
+		if i < len(held) {
+			b.parts[i].lent = held[i]
+		}
+	}
+	if b.shared && len(held) == 0 {
+		for _, s := range b.servers {
+			s.coldAt = max(s.coldAt, now+b.coldGap(now, s))
+		}
+	}
+	b.shared = len(held) > 0
+	b.feed(now)
+}
+
+// full says whether a compartment has no slot for another request.
+func (c *compartment) full() bool { return c.used+c.lent.Slots >= c.slots }
--- /dev/null
+++ b/policy/takeover_test.go
@@ -0,0 +1,122 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// While two processes stand for one sidecar, what they hold together never exceeds
+// its slots and places, whatever comes to either and however late the new one hears
+// from the old; and when the old one has ended the new one has them all.
+func TestTwoProcessesKeepToOneSetOfSlots(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		cfg := testConfig()
+		old, oldHost := start(t, cfg, ready(1, 2, 3))
+		fresh, freshHost := start(t, cfg, ready(1, 2, 3))
+		type flight struct {
+			b       *Balancer
+			id      RequestID
+			attempt int
+		}
+		var out []flight
+		seen := map[*fakeHost]int{}
+		tries := map[*Balancer]map[RequestID]int{old: {}, fresh: {}}
+		collect := func(b *Balancer, h *fakeHost) {
+			for ; seen[h] < len(h.sends); seen[h]++ {
+				id := h.sends[seen[h]].id
+				out = append(out, flight{b, id, tries[b][id]})
+				tries[b][id]++
+			}
+		}
+		now, id := time.Duration(0), RequestID(0)
+		request := func(b *Balancer) {
+			id++
+			b.Request(now, Request{ID: id, Class: safeClass, Tenant: rng.IntN(2), Left: 2 * time.Second})
+		}
+		for range 20 {
+			request(old)
+		}
+		collect(old, oldHost)
+		fresh.Beside(now, old.Leave())
+		var late [][]Held // on their way
+		for range 300 {
+			now += ms
+			switch rng.IntN(5) {
+			case 0:
+				request(old)
+			case 1, 2:
+				request(fresh)
+			case 3:
+				if len(out) > 0 {
+					i := rng.IntN(len(out))
+					f := out[i]
+					out = append(out[:i], out[i+1:]...)
+					ending := Served
+					if seed%2 == 1 && rng.IntN(3) == 0 {
+						ending = TurnedAway
+					}
+					end(f.b, now, f.id, f.attempt, ending)
+				}
+			case 4:
+				late = append(late, old.Leave())
+				if rng.IntN(2) == 0 {
+					fresh.Beside(now, late[0])
+					late = late[1:]
+				}
+			}
+			collect(old, oldHost)
+			collect(fresh, freshHost)
+			for i := range old.parts {
+				a, b := &old.parts[i], &fresh.parts[i]
+				if total := b.slots; a.used+b.used > total {
+					t.Fatalf("seed %d: tenant %d holds %d and %d of %d slots", seed, i, a.used, b.used, total)
+				}
+				if total := b.places; seed%2 == 0 && len(a.queue)+len(b.queue) > total { // retries wait beyond the places
+					t.Fatalf("seed %d: tenant %d has %d and %d in %d places", seed, i, len(a.queue), len(b.queue), total)
+				}
+			}
+		}
+		fresh.Beside(now, nil)
+		for i := range fresh.parts {
+			if fresh.SlotsFree(i) != fresh.parts[i].slots-fresh.parts[i].used {
+				t.Errorf("seed %d: slots are lent to a process that has ended", seed)
+			}
+		}
+	}
+}
+
+// A cold server gets nothing from either while both live, and afterwards no more
+// than its budget, whatever the old process sent it last.
+func TestTwoProcessesKeepToOneColdBudget(t *testing.T) {
+	now := 100 * time.Second
+	cold := ready(1, 2)
+	cold[0].Started = now
+	old, oldHost := start(t, testConfig(), nil)
+	fresh, freshHost := start(t, testConfig(), nil)
+	old.List(now, ListFull, cold)
+	fresh.List(now, ListFull, cold)
+	fresh.Beside(now, old.Leave())
+	for i := range 30 {
+		id := RequestID(i + 1)
+		for b, h := range map[*Balancer]*fakeHost{old: oldHost, fresh: freshHost} {
+			ask(b, now, id, safeClass)
+			if h.sentTo(1) > 0 {
+				t.Fatal("a cold server gets requests while both processes live")
+			}
+			if n := len(h.sends); n > 0 && h.sends[n-1].id == id {
+				end(b, now, id, 0, Served)
+			}
+		}
+		now += ms
+	}
+	fresh.Beside(now, nil)
+	gap := fresh.coldGap(now, fresh.server(1))
+	if at := fresh.server(1).coldAt; at < now+gap/2 {
+		t.Errorf("the first send may come %v after the old one's end, want about a gap of %v", at-now, gap)
+	}
+	if freshHost.sentTo(1) > 0 {
+		t.Error("a cold server gets a request at once")
+	}
+}
