Accept in one place in the test of foreign replicas, which could wait for ever

Seen: with the race detector the test waited 10 minutes: a connection that was let in went to the channel of an earlier case, whose own had been refused.

--- a/internal/registry/server/server_test.go
+++ b/internal/registry/server/server_test.go
@@ -911,6 +911,16 @@
 	}
 	l := newLayer(listen(t, "127.0.0.1:0"), hello("a", 7))
 	defer l.Close()
+	accepted := make(chan net.Conn, 10)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
 	for name, x := range map[string]struct {
 		hello func() (string, uint64)
 		ok    bool
@@ -919,12 +929,6 @@
 		"another group": {hello("b", 7), false}, "another history": {hello("a", 8), false},
 	} {
 		other := &layer{hello: x.hello}
-		accepted := make(chan net.Conn, 1)
-		go func() {
-			if c, err := l.Accept(); err == nil {
-				accepted <- c
-			}
-		}()
 		c, err := other.Dial(raft.ServerAddress(l.Addr().String()), patience)
 		if (err == nil) != x.ok {
 			t.Errorf("%s: error %v", name, err)
