--- /dev/null
+++ b/internal/registry/client/fuzz_test.go
@@ -0,0 +1,23 @@
+package client
+
+import "testing"
+
+// FuzzListing: what a discovery service may send is taken or refused, and what was
+// held is built upon only by what follows it.
+func FuzzListing(f *testing.F) {
+	f.Add([]byte(`{"seq":43,"whole":false,"hosts":[{"host":"s","dial":"127.0.0.1:1","health":"up","share":1,"block":3}]}`))
+	f.Add([]byte(`{"seq":1,"whole":true,"hosts":[{"host":7},{"share":"x"},null]}`))
+	f.Add([]byte(`{"seq":-1}`))
+	f.Add([]byte(`{"seq":18446744073709551616}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var got []Listing
+		w := NewWatcher(Options{Addrs: []string{"127.0.0.1:1"}, Known: &Listing{Seq: 41}, Deliver: func(l Listing) { got = append(got, l) }})
+		err := w.take(text)
+		if (err == nil) != (len(got) == 1) {
+			t.Fatalf("error %v and %d deliveries", err, len(got))
+		}
+		if err == nil && !got[0].Whole && got[0].Seq < 41 {
+			t.Errorf("a change to version %d was taken on top of 41", got[0].Seq)
+		}
+	})
+}
--- a/internal/registry/server/server_test.go
+++ b/internal/registry/server/server_test.go
@@ -1011,3 +1011,31 @@
 func (r *recorder) Write(b []byte) (int, error) {
 	return r.text.Write(b)
 }
+
+// FuzzConfig: a configuration is taken or refused in one line.
+func FuzzConfig(f *testing.F) {
+	f.Add([]byte(`{"group":"g","id":"r0","data":"/tmp/x","replicas":[{"id":"r0","http":"127.0.0.1:1","raft":"127.0.0.1:2"}]}`))
+	f.Add([]byte(`{"timing":{"election_ms":-1},"sessions":{"floor":1e999}}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := ParseConfig(text)
+		if err != nil {
+			return
+		}
+		if _, ok := c.self(); !ok || c.election() <= 0 || c.Limits.Calls < 1 {
+			t.Errorf("taken: %+v", c)
+		}
+	})
+}
+
+// FuzzHello: whoever connects as a replica is of this group and history or refused.
+func FuzzHello(f *testing.F) {
+	f.Add("barleywick-registry/1 a 7")
+	f.Add("barleywick-registry/1 a 0")
+	f.Add("barleywick-registry/1 a -7 x")
+	l := &layer{hello: func() (string, uint64) { return "a", 7 }}
+	f.Fuzz(func(t *testing.T, line string) {
+		if l.compare(line) == nil && !strings.HasPrefix(strings.Join(strings.Fields(line), " "), helloWord+" a ") {
+			t.Errorf("%q was let in", line)
+		}
+	})
+}
--- a/internal/sidecar/connections_test.go
+++ b/internal/sidecar/connections_test.go
@@ -670,3 +670,24 @@
 		}
 	}
 }
+
+// FuzzConnections: limits are taken whole and possible, or refused.
+func FuzzConnections(f *testing.F) {
+	f.Add([]byte(`{"clients":{"total":60,"per_address":20,"half_open":30,"idle":10,"waiting":4},"servers":{"total":80}}`), 256)
+	f.Add([]byte(`{"servers":{"handshakes":-1}}`), 64)
+	f.Add([]byte(`{"clients":null,"servers":[]}`), 1024)
+	f.Fuzz(func(t *testing.T, text []byte, sockets int) {
+		if sockets < leastSockets {
+			return
+		}
+		said, err := parseConnections(text)
+		if err != nil {
+			return
+		}
+		if l, err := limitsFor(Limits{Sockets: sockets}, said); err == nil {
+			if l.Clients.Total+l.Clients.Waiting+l.Clients.Telling+l.Servers.Total >= sockets || l.Clients.Total < 1 || l.Servers.HandshakesPerServer < 1 {
+				t.Errorf("%s at %d sockets: %+v", text, sockets, l)
+			}
+		}
+	})
+}
--- a/internal/systemtest/drain_test.go
+++ b/internal/systemtest/drain_test.go
@@ -57,11 +57,15 @@
 		servers = append(servers, b)
 	}
 	var sidecars []*sidecarProcess
-	for i := range 3 {
+	for i := range 2 {
 		sidecars = append(sidecars, startSidecar(t, fmt.Sprint("n", i), rotate(g.addrs(), i)))
 	}
+	p := newPlace(t, g.addrs()) // whose sidecar is taken over
+	inPlace := p.process("n7")
+	inPlace.ready()
+	sidecars = append(sidecars, inPlace)
 	l := startLoad(t, 2, sidecars...)
-	within, cancel := context.WithTimeout(context.Background(), 2*patience)
+	within, cancel := context.WithTimeout(context.Background(), 4*patience)
 	defer cancel()
 
 	// told waits until every sidecar watches and holds a version, and says when that was.
@@ -105,6 +109,13 @@
 		s.ready()
 		l.resume(s)
 	}
+	takeOver := func() {
+		t.Helper()
+		old := inPlace
+		inPlace = p.process("n7, a later one")
+		eventually(t, "the new one serves", func() bool { return inPlace.says("msg=serving") })
+		old.wait()
+	}
 	w := g.workflow(len(sidecars), func(host string) {
 		i := slices.IndexFunc(servers, func(b *booking) bool { return b.host == host })
 		if n := servers[i].held(); n > 0 {
@@ -136,9 +147,17 @@
 	restart(sidecars[0])
 	drainMachine("m-1")
 
+	takeOver()
+
 	// And at random, with a replica killed in the middle of each.
 	rng := rand.New(rand.NewPCG(11, 0))
-	for range 3 {
+	scopes := []func(){
+		func() { drainServer(servers[rng.IntN(len(servers))]) },
+		func() { restart(sidecars[rng.IntN(2)]) },
+		func() { drainMachine(fmt.Sprint("m-", rng.IntN(3))) },
+		takeOver,
+	}
+	for _, scope := range rng.Perm(len(scopes)) {
 		i := g.leader()
 		killed, after := make(chan struct{}), time.Duration(rng.IntN(300))*time.Millisecond
 		go func() {
@@ -146,14 +165,7 @@
 			time.Sleep(after) // somewhere in what follows
 			g.replicas[i].kill()
 		}()
-		switch rng.IntN(3) {
-		case 0:
-			drainServer(servers[rng.IntN(len(servers))])
-		case 1:
-			restart(sidecars[rng.IntN(len(sidecars))])
-		case 2:
-			drainMachine(fmt.Sprint("m-", rng.IntN(3)))
-		}
+		scopes[scope]()
 		<-killed
 		g.replicas[i].start()
 		g.allReady()
