--- a/internal/sidecar/connections_test.go
+++ b/internal/sidecar/connections_test.go
@@ -436,14 +436,7 @@
 			})
 			p, to := testPool(8), &peer{addr: u.addr}
 			defer p.close()
-			var conns []*conn
-			for range 3 {
-				c, err := p.get(t.Context(), to)
-				if err != nil {
-					t.Fatal(err)
-				}
-				conns = append(conns, c)
-			}
+			conns := connections(t, p, to, 3)
 			for _, c := range conns {
 				p.put(c)
 			}
@@ -475,14 +468,7 @@
 	u := newUpstream(t, always(answer200("")))
 	p, to := poolOf(time.Second, time.Minute, 8), &peer{addr: u.addr}
 	defer p.close()
-	var conns []*conn
-	for range 5 {
-		c, err := p.get(t.Context(), to)
-		if err != nil {
-			t.Fatal(err)
-		}
-		conns = append(conns, c)
-	}
+	conns := connections(t, p, to, 5)
 	for _, c := range conns {
 		p.put(c)
 	}
@@ -529,14 +515,7 @@
 	u := newUpstream(t, always(answer200("")))
 	p, to := testPool(8), &peer{addr: u.addr}
 	defer p.close()
-	var conns []*conn
-	for range 4 {
-		c, err := p.get(t.Context(), to)
-		if err != nil {
-			t.Fatal(err)
-		}
-		conns = append(conns, c)
-	}
+	conns := connections(t, p, to, 4)
 	for _, c := range conns[1:] {
 		p.put(c)
 	}
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -23,14 +23,7 @@
 	u := newUpstream(t, always(answer200("")))
 	p, to := testPool(4), &peer{addr: u.addr}
 	defer p.close()
-	var conns []*conn
-	for range 3 {
-		c, err := p.get(t.Context(), to)
-		if err != nil {
-			t.Fatal(err)
-		}
-		conns = append(conns, c)
-	}
+	conns := connections(t, p, to, 3)
 	p.put(conns[0])
 	p.drain(to)
 	await(t, "the idle connection's end", u.closed)
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -30,6 +30,19 @@
 	return newPool(dialTimeout, connIdle, poolLimits{most, most, most, most}, 1)
 }
 
+// connections takes n connections to an upstream out of a pool.
+func connections(t testing.TB, p *pool, to *peer, n int) (conns []*conn) {
+	t.Helper()
+	for range n {
+		c, err := p.get(t.Context(), to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	return conns
+}
+
 // opened is how many connections of a pool are open or being opened.
 func (p *pool) opened() int {
 	_, now := p.counters()
