Keep the registry's callers within what its listener lets in, also on reload

Seen on reading Reload again: limits that grew under way would have let calls wait in a turn that the listener, bounded at the start, never lets in.

--- a/internal/registry/server/config.go
+++ b/internal/registry/server/config.go
@@ -35,6 +35,9 @@
 	Waiting int `json:"waiting"` // that wait for their turn
 }
 
+// connections is how many callers there may be at once.
+func (l Limits) connections() int { return l.Watches + l.Calls + l.Waiting }
+
 // Sessions are the rules on instances that stop renewing.
 type Sessions struct {
 	Floor      float64 `json:"floor"`        // the part of the sessions that no silence removes
--- a/internal/registry/server/http.go
+++ b/internal/registry/server/http.go
@@ -78,12 +78,6 @@
 	}
 }
 
-// Connections is how many connections the listener should let in at once.
-func (r *Replica) Connections() int {
-	l := r.config.Load().Limits
-	return l.Watches + l.Calls + l.Waiting
-}
-
 // refusal is an error with the status it is answered with.
 type refusal struct {
 	status int
--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -57,9 +57,11 @@
 	ready   atomic.Bool // it has caught up with the group once since its start
 	watches atomic.Int64
 	sent    versions
-	refused atomic.Uint64 // calls told to come back
-	writes  atomic.Uint64
-	expired atomic.Uint64 // instances removed for their silence
+
+	connections int           // that its listener lets in
+	refused     atomic.Uint64 // calls told to come back
+	writes      atomic.Uint64
+	expired     atomic.Uint64 // instances removed for their silence
 
 	mu       sync.Mutex
 	sessions *registry.Sessions // while it leads
@@ -76,7 +78,7 @@
 		return nil, err
 	}
 	h := newHub()
-	r := &Replica{self: self, hub: h, machine: newMachine(h), turn: &turn{limits: c.Limits}, disk: d}
+	r := &Replica{self: self, hub: h, machine: newMachine(h), turn: &turn{limits: c.Limits}, disk: d, connections: c.Limits.connections()}
 	r.http = &http.Client{Timeout: leaderCallIn, Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}}
 	r.config.Store(c)
 	r.life, r.end = context.WithCancel(context.Background())
@@ -488,6 +490,9 @@
 	if err != nil {
 		return err
 	}
+	if n := next.Limits.connections(); n > r.connections {
+		return fmt.Errorf("limits: they add up to %d connections, and this replica was started for %d", n, r.connections)
+	}
 	r.config.Store(next)
 	r.turn.setLimits(next.Limits)
 	return nil
--- a/internal/registry/server/run.go
+++ b/internal/registry/server/run.go
@@ -40,7 +40,7 @@
 	defer func() { err = errors.Join(err, r.Close()) }()
 	s := r.Server()
 	served := make(chan error, 1)
-	go func() { served <- s.Serve(netutil.LimitListener(ln, r.Connections())) }()
+	go func() { served <- s.Serve(netutil.LimitListener(ln, r.connections)) }()
 	slog.Info("serving", "group", c.Group, "id", c.ID, "http", self.HTTP, "raft", self.Raft)
 	for {
 		select {
--- a/internal/registry/server/server_test.go
+++ b/internal/registry/server/server_test.go
@@ -691,6 +691,10 @@
 	if status, _, _ := get(t, "http://"+n.member.HTTP+registry.ListPath+"?watch=1"); status != 503 {
 		t.Errorf("a second watch: %d, want 503", status)
 	}
+	if fresh.Limits.Watches = 1 << 20; n.Reload(&fresh) == nil {
+		t.Error("a reload let in more callers than the listener does")
+	}
+	fresh.Limits.Watches = 1
 	fresh.Group = "another"
 	if err := n.Reload(&fresh); err == nil {
 		t.Error("a reload moved the replica into another group")
