--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -21,8 +21,10 @@
 	idlePart = 3
 	// waitPart is which part of the clients' sockets may wait for a place, and
 	// which may be held by connections being told that there is none.
-	waitPart = 16
-	maxWait  = 8 // a longer queue serves nobody sooner, and each in it is a place less
+	// They are few: a longer queue serves nobody sooner, and each in it is a place
+	// less, which is what clears a flood.
+	waitPart = 32
+	maxWait  = 8
 
 	// serverPart is which part of the upstreams' sockets one of them may hold: one
 	// that is slow must leave some to the others.
@@ -70,10 +72,10 @@
 // configuration says instead.
 func limitsFor(sockets Limits, said connectionsText) (connectionLimits, error) {
 	forClients, forServers := sockets.connections()
-	wait := min(max(forClients/waitPart, 1), maxWait)
+	wait := min(forClients/waitPart, maxWait)
 	var l connectionLimits
 	c, s := &l.Clients, &l.Servers
-	c.Telling = wait
+	c.Telling = max(wait, 1)
 	c.Waiting = or(said.Clients.Waiting, wait)
 	c.Total = or(said.Clients.Total, max(1, forClients-c.Waiting-c.Telling-1))
 	c.PerAddress = or(said.Clients.PerAddress, c.Total)
