Follow a stale replica where all others are out of reach

Seen by a new test of the documented promise: with one replica stale and another out of reach, a watcher went round between them for ever (waited 10 s for a list). At fault: watchHere took a stale replica only as the last of a round without any other failure. A round now goes over all addresses, and a stale one is taken if no other takes the watch. With one address nothing changes. The leader also looks at its sessions only when the list's version has moved.

--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -202,8 +202,7 @@
 }
 
 // watchHere watches until the watch ends or discovery moves to other addresses.
-// When it returns, nothing more comes from the old ones. Replicas that say they
-// are stale are watched only where no other is better.
+// When it returns, nothing more comes from the old ones.
 func (w *Watcher) watchHere(ctx context.Context) (heard bool, addrs []string, err error) {
 	ctx, leave := context.WithCancelCause(ctx)
 	defer leave(nil)
@@ -217,17 +216,33 @@
 		case <-over:
 		}
 	}()
-	for range len(w.Addrs) - 1 {
-		if heard, err = w.watch(ctx, false); !errors.Is(err, errStale) {
-			break
+	heard, err = w.watchOne(ctx)
+	close(over)
+	return heard, <-turned, err
+}
+
+// watchOne watches at the first address, from the one in use on, that takes the
+// watch. A replica that says it is stale is the last resort: it is watched where all
+// the others are stale too or out of reach.
+func (w *Watcher) watchOne(ctx context.Context) (heard bool, err error) {
+	if len(w.Addrs) == 1 {
+		return w.watch(ctx, true)
+	}
+	stale := -1
+	for range w.Addrs {
+		if heard, err = w.watch(ctx, false); heard || ctx.Err() != nil {
+			return heard, err
+		}
+		if errors.Is(err, errStale) {
+			stale = w.at
 		}
 		w.next()
 	}
-	if len(w.Addrs) == 1 || errors.Is(err, errStale) {
-		heard, err = w.watch(ctx, true)
+	if stale < 0 {
+		return false, err
 	}
-	close(over)
-	return heard, <-turned, err
+	w.at = stale
+	return w.watch(ctx, true)
 }
 
 // watch opens one watch and passes on what it brings until it ends; heard tells
--- a/internal/registry/client/watch_test.go
+++ b/internal/registry/client/watch_test.go
@@ -1,9 +1,15 @@
 package client
 
 import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"mothridge/internal/registry"
 	"mothridge/internal/registry/registrytest"
 )
 
@@ -166,3 +172,57 @@
 	asks <- struct{}{}
 	await(t, "the second watch", g.Watches)
 }
+
+// serveAs answers every watch with a whole list of one version, said to be as fresh
+// as read, and then holds it open.
+func serveAs(t *testing.T, read string, seq int) (addr string, calls <-chan struct{}) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := make(chan struct{}, 100)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		c <- struct{}{}
+		w.Header().Set(registry.ReadHeader, read)
+		fmt.Fprintln(w, registrytest.ListText(seq, true))
+		if q.URL.Query().Get("watch") != "" {
+			w.(http.Flusher).Flush()
+			<-q.Context().Done()
+		}
+	})}
+	go server.Serve(ln)
+	t.Cleanup(func() { server.Close() })
+	return ln.Addr().String(), c
+}
+
+// A replica that says it is stale is passed over while another is better, and
+// followed where none is; one that is out of reach is passed over too.
+func TestStaleReplicasAreTheLastResort(t *testing.T) {
+	stale, _ := serveAs(t, registry.ReadStale+"; age_ms=9000", 7)
+	other, _ := serveAs(t, registry.ReadStale+"; age_ms=8000", 7)
+	current, _ := serveAs(t, registry.ReadCurrent+"; age_ms=1", 9)
+	for name, x := range map[string]struct {
+		addrs []string
+		want  uint64
+	}{
+		"one is current":        {[]string{stale, other, current}, 9},
+		"none is current":       {[]string{stale, other}, 7},
+		"the only one":          {[]string{stale}, 7},
+		"one is out of reach":   {[]string{"127.0.0.1:1", current}, 9},
+		"stale or out of reach": {[]string{"127.0.0.1:1", stale}, 7},
+	} {
+		for seed := range uint64(4) { // each begins at another address
+			news := make(chan Listing, 100)
+			w := NewWatcher(Options{Addrs: x.addrs, Seed: seed, Deliver: func(l Listing) { news <- l }})
+			ctx, cancel := context.WithCancel(t.Context())
+			var done sync.WaitGroup
+			done.Go(func() { w.Follow(ctx) })
+			if got := await(t, "a list", news); got.Seq != x.want {
+				t.Errorf("%s, seed %d: version %d, want %d", name, seed, got.Seq, x.want)
+			}
+			cancel()
+			done.Wait()
+		}
+	}
+}
--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -65,6 +65,7 @@
 
 	mu       sync.Mutex
 	sessions *registry.Sessions // while it leads
+	followed uint64             // the list's version that they are those of
 	held     bool               // expiry is held back
 }
 
@@ -187,7 +188,7 @@
 	rules := r.config.Load().Sessions
 	sessions := registry.NewSessions(rules.Floor, time.Duration(rules.WithinMS)*time.Millisecond)
 	r.mu.Lock()
-	r.sessions = sessions
+	r.sessions, r.followed = sessions, 0
 	r.followSessions(time.Now())
 	live := sessions.Live()
 	r.mu.Unlock()
@@ -213,8 +214,16 @@
 // followSessions lets the sessions be those of the state. The lock is held.
 func (r *Replica) followSessions(now time.Time) {
 	var entries []registry.Entry
-	r.machine.read(func(s *registry.State) { entries = s.Entries() })
-	r.sessions.Follow(entries, now)
+	var seq uint64
+	r.machine.read(func(s *registry.State) {
+		if seq = s.Seq(); seq != r.followed { // every change of a session is one of the list's version
+			entries = s.Entries()
+		}
+	})
+	if seq != r.followed {
+		r.followed = seq
+		r.sessions.Follow(entries, now)
+	}
 }
 
 // expire removes the instances whose sessions have ended, unless too many have at once.
