--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -204,7 +204,7 @@
 
 func TestDrainAndUndrain(t *testing.T) {
 	w := newWorld(t)
-	o := w.operator("anna").workflow()
+	o := w.operator("ops-a").workflow()
 	if err := o.Drain(t.Context(), "m-1"); err != nil {
 		t.Fatal(err)
 	}
@@ -231,7 +231,7 @@
 			for at := 1; ; at++ {
 				w := newWorld(t)
 				name := fmt.Sprintf("crash at call %d, effect %v, undo %v", at, after, undo)
-				first := w.operator("anna")
+				first := w.operator("ops-a")
 				first.crashAt, first.after = at, after
 				if err := first.workflow().Drain(ctx, "m-1"); err == nil {
 					if at < 20 {
@@ -249,9 +249,9 @@
 				marks, seq := len(w.state.Marks()), w.state.Seq()
 				if claimed && !ended {
 					for what, do := range map[string]func(context.Context, string) error{
-						"drain": w.operator("bo").workflow().Drain, "undrain": w.operator("bo").workflow().Undrain,
+						"drain": w.operator("ops-b").workflow().Drain, "undrain": w.operator("ops-b").workflow().Undrain,
 					} {
-						if err := do(ctx, "m-1"); !errors.Is(err, ErrRefused) || !strings.Contains(err.Error(), "claimed by anna") {
+						if err := do(ctx, "m-1"); !errors.Is(err, ErrRefused) || !strings.Contains(err.Error(), "claimed by ops-a") {
 							t.Errorf("%s: %s during the claim: %v", name, what, err)
 						}
 					}
@@ -260,7 +260,7 @@
 					}
 				}
 				w.now = w.now.Add(time.Minute) // the claim has run out
-				second := w.operator("bo").workflow()
+				second := w.operator("ops-b").workflow()
 				if undo {
 					if err := second.Undrain(ctx, "m-1"); (err == nil) != claimed {
 						t.Errorf("%s: undo: %v", name, err)
@@ -283,16 +283,16 @@
 	for _, after := range []bool{false, true} {
 		for at := 1; ; at++ {
 			w := newWorld(t)
-			if err := w.operator("anna").workflow().Drain(ctx, "m-1"); err != nil {
+			if err := w.operator("ops-a").workflow().Drain(ctx, "m-1"); err != nil {
 				t.Fatal(err)
 			}
-			first := w.operator("anna")
+			first := w.operator("ops-a")
 			first.crashAt, first.after = at, after
 			if first.workflow().Undrain(ctx, "m-1") == nil {
 				break
 			}
 			w.now = w.now.Add(time.Minute)
-			if err := w.operator("bo").workflow().Undrain(ctx, "m-1"); err != nil && !errors.Is(err, ErrRefused) {
+			if err := w.operator("ops-b").workflow().Undrain(ctx, "m-1"); err != nil && !errors.Is(err, ErrRefused) {
 				t.Errorf("crash at call %d, effect %v: %v", at, after, err)
 			}
 			w.check(fmt.Sprint("crash of the undo at call ", at), "m-1", false)
@@ -306,9 +306,9 @@
 	ctx := context.Background()
 	for at := 1; at < 25; at++ {
 		w := newWorld(t) // zone a: 2 on m-1, 2 on m-2, 1 on m-3, and the floor is 2
-		second := w.operator("bo")
+		second := w.operator("ops-b")
 		var other error
-		first := w.operator("anna")
+		first := w.operator("ops-a")
 		first.hook = func(call int) {
 			if call == at {
 				other = second.workflow().Drain(ctx, "m-2")
@@ -323,13 +323,13 @@
 		}
 	}
 	w := newWorld(t)
-	if err := w.operator("anna").workflow().Drain(ctx, "m-1"); err != nil {
+	if err := w.operator("ops-a").workflow().Drain(ctx, "m-1"); err != nil {
 		t.Fatal(err)
 	}
-	if err := w.operator("bo").workflow().Drain(ctx, "m-3"); err != nil {
+	if err := w.operator("ops-b").workflow().Drain(ctx, "m-3"); err != nil {
 		t.Errorf("one that the floor allows beside it: %v", err)
 	}
-	if err := w.operator("bo").workflow().Drain(ctx, "m-2"); !errors.Is(err, ErrRefused) {
+	if err := w.operator("ops-b").workflow().Drain(ctx, "m-2"); !errors.Is(err, ErrRefused) {
 		t.Errorf("one that it does not: %v", err)
 	}
 }
@@ -375,7 +375,7 @@
 func TestOutOfTime(t *testing.T) {
 	w := newWorld(t)
 	w.slow = true
-	o := w.operator("anna")
+	o := w.operator("ops-a")
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	o.hook = func(call int) {
@@ -393,18 +393,18 @@
 func TestLostClaim(t *testing.T) {
 	w := newWorld(t)
 	w.slow = true
-	first := w.operator("anna")
+	first := w.operator("ops-a")
 	first.hook = func(call int) {
 		if call == 12 {
 			w.now = w.now.Add(time.Minute)
 			w.slow = false
-			if err := w.operator("bo").workflow().Drain(context.Background(), "m-1"); err != nil {
-				t.Errorf("bo: %v", err)
+			if err := w.operator("ops-b").workflow().Drain(context.Background(), "m-1"); err != nil {
+				t.Errorf("ops-b: %v", err)
 			}
 		}
 	}
 	if err := first.workflow().Drain(t.Context(), "m-1"); !errors.Is(err, ErrLost) {
-		t.Errorf("anna: %v, want the claim lost", err)
+		t.Errorf("ops-a: %v, want the claim lost", err)
 	}
 	w.check("taken over", "m-1", true)
 }
@@ -414,12 +414,12 @@
 func TestStalledOperatorChangesNothing(t *testing.T) {
 	for at := 2; at < 25; at++ {
 		w := newWorld(t)
-		o := w.operator("anna")
+		o := w.operator("ops-a")
 		undone := false
 		o.hook = func(call int) {
 			if call == at {
 				w.now = w.now.Add(time.Minute)
-				undone = w.operator("bo").workflow().Undrain(context.Background(), "m-1") == nil
+				undone = w.operator("ops-b").workflow().Undrain(context.Background(), "m-1") == nil
 			}
 		}
 		err := o.workflow().Drain(t.Context(), "m-1")
@@ -438,7 +438,7 @@
 // Servers that come to the machine while it drains are drained too.
 func TestServerThatComesMeanwhile(t *testing.T) {
 	w := newWorld(t)
-	o := w.operator("anna")
+	o := w.operator("ops-a")
 	o.hook = func(call int) {
 		if call == 10 {
 			w.register("s-9", "m-1", "a")
@@ -458,8 +458,8 @@
 	}{
 		"an unknown machine": {"m-9", "has no servers in the list; it has those of m-1, m-2", nil},
 		"the floor":          {"m-4", "zone b would have 0 ready servers, its floor is 1", nil},
-		"marked by hand": {"m-1", "is marked by anna", func(w *world) {
-			w.apply(registry.Command{Op: registry.Mark, Host: "s-1", By: "anna", Draining: true})
+		"marked by hand": {"m-1", "is marked by ops-a", func(w *world) {
+			w.apply(registry.Command{Op: registry.Mark, Host: "s-1", By: "ops-a", Draining: true})
 		}},
 		"an unreadable record": {"m-1", "cannot be read", func(w *world) {
 			w.apply(registry.Command{Op: registry.Put, Key: RecordKey, Value: []byte("{")})
@@ -470,7 +470,7 @@
 			x.prepare(w)
 		}
 		marks, seq := fmt.Sprint(w.state.Marks(), len(w.state.Records())), w.state.Seq()
-		err := w.operator("bo").workflow().Drain(t.Context(), x.machine)
+		err := w.operator("ops-b").workflow().Drain(t.Context(), x.machine)
 		if err == nil || !strings.Contains(err.Error(), x.want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v, want one line with %q", name, err, x.want)
 		}
@@ -479,7 +479,7 @@
 		}
 	}
 	w := newWorld(t)
-	p, err := w.operator("anna").workflow().Plan(t.Context(), "m-1")
+	p, err := w.operator("ops-a").workflow().Plan(t.Context(), "m-1")
 	if err != nil || len(p.Hosts) != 2 || len(p.Zones) != 1 || p.Zones[0] != (Remains{"a", 5, 3, 2}) || len(w.state.Records()) > 0 {
 		t.Errorf("a plan: %+v, %v", p, err)
 	}
--- a/internal/registry/server/server_test.go
+++ b/internal/registry/server/server_test.go
@@ -306,7 +306,7 @@
 	if got := next(); got != "" {
 		t.Errorf("while nothing changes: %q, want an empty line", got)
 	}
-	mark, err := c.Mark(within(t), registry.MarkRequest{Hosts: []string{"s-1"}, By: "anna", Draining: true})
+	mark, err := c.Mark(within(t), registry.MarkRequest{Hosts: []string{"s-1"}, By: "ops-a", Draining: true})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -369,7 +369,7 @@
 		"an oversized body":   {"PUT", "instances/s-2", with(`"m2"`, `"`+strings.Repeat("x", maxBody)+`"`), 413},
 		"no such session":     {"POST", "instances/s-1/renew", `{"session":"y"}`, 404},
 		"no such host":        {"POST", "instances/s-9/renew", `{"session":"x"}`, 404},
-		"a mark on nobody":    {"POST", "marks", `{"hosts":["s-9"],"by":"anna","draining":true}`, 404},
+		"a mark on nobody":    {"POST", "marks", `{"hosts":["s-9"],"by":"ops-a","draining":true}`, 404},
 		"a mark by nobody":    {"POST", "marks", `{"hosts":["s-1"],"draining":true}`, 400},
 		"a removal's version": {"DELETE", "instances/s-1?if_version=x", ``, 400},
 		"an old removal":      {"DELETE", "instances/s-1?if_version=7", ``, 409},
@@ -587,7 +587,7 @@
 		case 0:
 			err = c.Remove(within(t), host, "")
 		case 1:
-			_, err = c.Mark(within(t), registry.MarkRequest{Hosts: []string{host}, By: "anna", Draining: rng.IntN(2) == 0})
+			_, err = c.Mark(within(t), registry.MarkRequest{Hosts: []string{host}, By: "ops-a", Draining: rng.IntN(2) == 0})
 		default:
 			_, err = c.Register(within(t), registry.RegisterRequest{Instance: instance(host, int64(i))})
 		}
--- a/internal/registry/state_test.go
+++ b/internal/registry/state_test.go
@@ -76,7 +76,7 @@
 				watchers[i] = make(map[string]Instance)
 			}
 			host := func() string { return fmt.Sprint("s-", rng.IntN(8)) }
-			by := func() string { return []string{"anna", "bo"}[rng.IntN(2)] }
+			by := func() string { return []string{"ops-a", "ops-b"}[rng.IntN(2)] }
 			for step := range 3000 {
 				var c Command
 				h := host()
@@ -230,14 +230,14 @@
 	}
 	health := func(host string) Health { e, _ := s.Entry(host); return e.Health }
 	register("a", 1)
-	if r := s.Apply(Command{Op: Mark, MustMark: []string{"a", "b"}, By: "anna", Draining: true}); !errors.Is(r.Err, ErrUnknown) || health("a") != Up {
+	if r := s.Apply(Command{Op: Mark, MustMark: []string{"a", "b"}, By: "ops-a", Draining: true}); !errors.Is(r.Err, ErrUnknown) || health("a") != Up {
 		t.Errorf("one of two is unknown: %v, and the other is %s", r.Err, health("a"))
 	}
 	register("b", 1)
-	if r := s.Apply(Command{Op: Mark, MustMark: []string{"a", "b"}, By: "anna", Draining: true}); r.Err != nil || len(r.Changed) != 2 || s.Seq() != r.Version {
+	if r := s.Apply(Command{Op: Mark, MustMark: []string{"a", "b"}, By: "ops-a", Draining: true}); r.Err != nil || len(r.Changed) != 2 || s.Seq() != r.Version {
 		t.Errorf("both: %+v", r)
 	}
-	if r := s.Apply(Command{Op: Mark, Host: "a", By: "bo"}); !errors.Is(r.Err, ErrConflict) {
+	if r := s.Apply(Command{Op: Mark, Host: "a", By: "ops-b"}); !errors.Is(r.Err, ErrConflict) {
 		t.Errorf("somebody else took the mark back: %v", r.Err)
 	}
 	s.Apply(Command{Op: Expire, Ended: []Ended{{"a", "1"}}})
@@ -245,11 +245,11 @@
 	if health("a") != Draining {
 		t.Error("the mark was lost as the server started again")
 	}
-	if r := s.Apply(Command{Op: Mark, Host: "a", By: "anna"}); r.Err != nil || health("a") != Up {
+	if r := s.Apply(Command{Op: Mark, Host: "a", By: "ops-a"}); r.Err != nil || health("a") != Up {
 		t.Errorf("taken back: %v, %s", r.Err, health("a"))
 	}
 	put := s.Apply(Command{Op: Put, Key: "drain/x", Value: []byte("1")})
-	late := Command{Op: Mark, Host: "a", By: "anna", Draining: true, Record: "drain/x", RecordAt: put.Version}
+	late := Command{Op: Mark, Host: "a", By: "ops-a", Draining: true, Record: "drain/x", RecordAt: put.Version}
 	s.Apply(Command{Op: Put, Key: "drain/x", Value: []byte("2")})
 	if r := s.Apply(late); !errors.Is(r.Err, ErrConflict) || health("a") != Up {
 		t.Errorf("a mark by who has lost the claim: %v", r.Err)
@@ -360,7 +360,7 @@
 func FuzzSnapshot(f *testing.F) {
 	s := founded(f)
 	s.Apply(Command{Op: Register, Instance: instance("a"), Session: "x", TTLMS: 5})
-	s.Apply(Command{Op: Mark, Host: "a", By: "anna", Draining: true})
+	s.Apply(Command{Op: Mark, Host: "a", By: "ops-a", Draining: true})
 	s.Apply(Command{Op: Put, Key: "k", Value: []byte("v")})
 	text, _ := json.Marshal(s)
 	f.Add(text)
