Read load reports in one place, and drop state of a drain that nothing reads

Seen on reading the whole change again: internal/drain parsed booking servers' load reports a second time, beside the sidecar. Both call settings.Report now. The drain record kept zones that nothing read, and the end of a process closed its listener in two copies.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -41,7 +41,6 @@
 	Machine string   `json:"machine"`
 	Step    Step     `json:"step"`
 	Hosts   []string `json:"hosts"`
-	Zones   []string `json:"zones"`
 	// Owner holds the claim until Expires, in Unix milliseconds.
 	Owner   string `json:"owner"`
 	Expires int64  `json:"expires_ms"`
@@ -333,9 +332,6 @@
 				return was, false, err
 			}
 			own = Drain{Machine: machine, Step: Claimed, Hosts: p.Hosts, Began: now.UnixMilli()}
-			for _, z := range p.Zones {
-				own.Zones = append(own.Zones, z.Zone)
-			}
 		}
 		own.Owner, own.Expires = w.Owner, now.Add(w.Lease).UnixMilli()
 		return own, true, nil
--- a/internal/drain/fleet.go
+++ b/internal/drain/fleet.go
@@ -5,14 +5,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os/exec"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
 	"mothridge/internal/registry"
+	"mothridge/internal/settings"
 )
 
 const (
@@ -97,14 +98,8 @@
 // load reads how much a server holds out of its report: what is in flight and what
 // waits, or else how busy its cores are.
 func load(report string) (work float64, ok bool) {
-	values := make(map[string]float64)
-	report, _ = strings.CutPrefix(strings.TrimSpace(report), "TEXT ")
-	for field := range strings.SplitSeq(report, ",") {
-		name, text, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if v, err := strconv.ParseFloat(text, 64); err == nil && v >= 0 {
-			values[name] = v
-		}
-	}
+	values := settings.Report(report, "inflight", "queue", "util")
+	maps.DeleteFunc(values, func(_ string, v float64) bool { return !(v >= 0) })
 	inflight, a := values["inflight"]
 	util, b := values["util"]
 	if !a && !b {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -154,6 +155,24 @@
 // Columns returns the names of what load reports hold.
 func (s *Settings) Columns() Columns { return s.Words("telemetry.columns") }
 
+// Report reads a load report of the form 'TEXT name=value, name=value': the values
+// of the names given. What it lacks, and what is no number, has none; it may hold any
+// number of others.
+func Report(text string, names ...string) map[string]float64 {
+	values := make(map[string]float64, len(names))
+	text, _ = strings.CutPrefix(strings.TrimSpace(text), "TEXT ")
+	for field := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !slices.Contains(names, name) {
+			continue
+		}
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			values[name] = v
+		}
+	}
+	return values
+}
+
 // Load turns a report into the module's own. value gives the number in a column
 // and whether there is one; what is no number or negative is unknown.
 func (c Columns) Load(value func(column int) (float64, bool)) policy.Load {
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -76,6 +76,11 @@
 func (d *drain) hand() error {
 	d.begun = time.Now()
 	d.listener.drain()
+	return d.finish()
+}
+
+// finish takes no connection from now on.
+func (d *drain) finish() error {
 	if err := d.listener.stopAccepting(); err != nil {
 		return fmt.Errorf("stop listening: %w", err)
 	}
@@ -97,11 +102,7 @@
 // next begins the phase that is due, and says whether that was the last.
 func (d *drain) next() (done bool, err error) {
 	if d.phase() == draining {
-		if err := d.listener.stopAccepting(); err != nil {
-			return true, fmt.Errorf("stop listening: %w", err)
-		}
-		d.enter(finishing)
-		return false, nil
+		return false, d.finish()
 	}
 	d.enter(over)
 	return true, nil
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -9,9 +9,7 @@
 	"maps"
 	"net/http"
 	"net/url"
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"mothridge/internal/settings"
@@ -236,17 +234,7 @@
 // load reads a report of the form 'TEXT name=value, name=value'. What it lacks, and
 // what is no number, is unknown.
 func (u *upstreams) load(report string) policy.Load {
-	values := make(map[string]float64, len(u.loadFields))
-	report, _ = strings.CutPrefix(strings.TrimSpace(report), "TEXT ")
-	for field := range strings.SplitSeq(report, ",") {
-		name, text, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if !slices.Contains(u.loadFields, name) {
-			continue // it may hold any number of others
-		}
-		if v, err := strconv.ParseFloat(text, 64); err == nil {
-			values[name] = v
-		}
-	}
+	values := settings.Report(report, u.loadFields...)
 	return u.loadFields.Load(func(column int) (float64, bool) {
 		v, ok := values[u.loadFields[column]]
 		return v, ok
