One program, barleywick, with commands: serve, check, version, completion

The command line is cobra's; without a command and with ROUTER_CONFIG set the program serves as before. check reads a configuration as serve does and explains each figure that follows. A wrong call exits with 2 and a failure with 1, each with one line; tests hold all of these.

--- a/cmd/simhost/main.go
+++ b/cmd/adapter/main.go
@@ -1,4 +1,4 @@
-// Simhost plays the decision module on the simulator's wire: it hosts many
+// Adapter plays the decision module on the simulator's wire: it hosts many
 // instances, each a policy.Balancer of its own, on standard input and output.
 // It decides nothing itself.
 package main
@@ -13,9 +13,9 @@
 	"runtime/debug"
 	"time"
 
-	"mothridge/internal/settings"
-	"mothridge/internal/wire"
-	"mothridge/policy"
+	"barleywick/internal/settings"
+	"barleywick/internal/wire"
+	"barleywick/policy"
 )
 
 func main() {
@@ -24,7 +24,7 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(800)
 	if err := serve(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "simhost:", err)
+		fmt.Fprintln(os.Stderr, "adapter:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/simhost/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/wire"
-	"mothridge/policy"
+	"barleywick/internal/wire"
+	"barleywick/policy"
 )
 
 const someSettings = `balancers=2
--- a/cmd/barleyctl/main.go
+++ b/cmd/barleyctl/main.go
@@ -13,8 +13,8 @@
 	"syscall"
 	"time"
 
-	"mothridge/internal/drain"
-	"mothridge/internal/registry/client"
+	"barleywick/internal/drain"
+	"barleywick/internal/registry/client"
 )
 
 const usage = `barleyctl takes machines out of service and brings them back.
--- a/cmd/barleyctl/main_test.go
+++ b/cmd/barleyctl/main_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/drain"
-	"mothridge/internal/registry"
-	"mothridge/internal/registry/server"
+	"barleywick/internal/drain"
+	"barleywick/internal/registry"
+	"barleywick/internal/registry/server"
 )
 
 // startRegistry runs a registry with two machines until the test ends, and returns
--- /dev/null
+++ b/cmd/barleywick/call_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// call runs a call that ends by itself.
+func call(env map[string]string, args ...string) (status int, out, errs string) {
+	var o, e bytes.Buffer
+	status = run(args, func(name string) string { return env[name] }, &o, &e)
+	return status, o.String(), e.String()
+}
+
+func TestExitStatusTellsWrongCallsFromFailures(t *testing.T) {
+	for _, c := range []struct {
+		args   []string
+		status int
+		says   string
+	}{
+		{[]string{"version"}, statusDone, ""},
+		{[]string{"--help"}, statusDone, ""},
+		{[]string{"completion", "bash"}, statusDone, ""},
+		{[]string{"swerve"}, statusWrongCall, "swerve"},
+		{[]string{"serve", "--fast"}, statusWrongCall, "--fast"},
+		{[]string{"serve", "--log-level", "loud"}, statusWrongCall, "--log-level"},
+		{[]string{"serve", "--log-format", "xml"}, statusWrongCall, "xml"},
+		{[]string{"check", "a", "b"}, statusWrongCall, "one file"},
+		{[]string{"check", "/nonexistent/config.json"}, statusFailed, "/nonexistent/config.json"},
+		{[]string{"check"}, statusFailed, "ROUTER_CONFIG"},
+	} {
+		status, _, errs := call(nil, c.args...)
+		if status != c.status || !strings.Contains(errs, c.says) || (c.status != statusDone && strings.Count(errs, "\n") != 1) {
+			t.Errorf("%v: status %d, says %q; want %d and one line that names %q", c.args, status, errs, c.status, c.says)
+		}
+	}
+}
+
+func TestCheckExplainsWhatFollows(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := `{"name":"n0","listen":"127.0.0.1:7070","discovery":"127.0.0.1:8500","seed":"ff","limits":{"sockets":256},
+		"settings":{"balancers":3,"caps":{"most_tries":3},"orgs":[{"name":"acme","share":1,"quota_per_s":100}],
+		"classes":[{"name":"pay","semantics":"single_shot","aim_ms":500,"hard_limit_ms":1000}]}}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	status, out, errs := call(map[string]string{"ROUTER_DISCOVERY": "127.0.0.1:9"}, "check", path)
+	if status != statusDone || errs != "" {
+		t.Fatalf("status %d, %s", status, errs)
+	}
+	for _, want := range []string{"127.0.0.1:9", "must never run twice", "124; 124 of one address", "compartment acme"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("no %q in\n%s", want, out)
+		}
+	}
+	if strings.Contains(out, "compartment acme  0 slots") {
+		t.Errorf("no slots in\n%s", out)
+	}
+}
--- a/cmd/mothridge/main_test.go
+++ b/cmd/barleywick/main_test.go
@@ -17,7 +17,7 @@
 
 // TestMain lets the test binary stand in for the program.
 func TestMain(m *testing.M) {
-	if os.Getenv("MOTHRIDGE_RUN_MAIN") == "1" {
+	if os.Getenv("BARLEYWICK_RUN_MAIN") == "1" {
 		main()
 		return
 	}
@@ -27,13 +27,13 @@
 func TestStartUpErrorIsOnePlainLine(t *testing.T) {
 	for name, config := range map[string]string{"none": "", "missing file": "/nonexistent/config.json", "no JSON": os.Args[0]} {
 		cmd := exec.Command(os.Args[0])
-		cmd.Env = append(os.Environ(), "MOTHRIDGE_RUN_MAIN=1", "ROUTER_CONFIG="+config)
+		cmd.Env = append(os.Environ(), "BARLEYWICK_RUN_MAIN=1", "ROUTER_CONFIG="+config)
 		var stderr bytes.Buffer
 		cmd.Stderr = &stderr
 		err := cmd.Run()
 		var exit *exec.ExitError
 		line := stderr.String()
-		if !errors.As(err, &exit) || exit.ExitCode() != 1 || strings.Count(line, "\n") != 1 || !strings.HasPrefix(line, "mothridge: ") {
+		if !errors.As(err, &exit) || exit.ExitCode() != 1 || strings.Count(line, "\n") != 1 || !strings.HasPrefix(line, "barleywick: ") {
 			t.Errorf("%s: %v, %q; want exit 1 and one line", name, err, line)
 		}
 	}
@@ -57,7 +57,7 @@
 		t.Fatal(err)
 	}
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "MOTHRIDGE_RUN_MAIN=1", "ROUTER_CONFIG="+config)
+	cmd.Env = append(os.Environ(), "BARLEYWICK_RUN_MAIN=1", "ROUTER_CONFIG="+config)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/registry/main.go
+++ b/cmd/registry/main.go
@@ -12,7 +12,7 @@
 	"os/signal"
 	"syscall"
 
-	"mothridge/internal/registry/server"
+	"barleywick/internal/registry/server"
 )
 
 const usage = `registry serves the list of booking servers as one replica of a group.
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -14,7 +14,7 @@
 	"net/netip"
 	"time"
 
-	"mothridge/internal/queue"
+	"barleywick/internal/queue"
 )
 
 // Limits bound the connections that are open at once.
--- a/internal/admission/ranks.go
+++ b/internal/admission/ranks.go
@@ -3,7 +3,7 @@
 import (
 	"math/bits"
 
-	"mothridge/internal/queue"
+	"barleywick/internal/queue"
 )
 
 // ranks keeps clients by how many connections they hold and finds one with the
--- a/internal/drain/config.go
+++ b/internal/drain/config.go
@@ -9,7 +9,7 @@
 	"os"
 	"time"
 
-	"mothridge/internal/registry/client"
+	"barleywick/internal/registry/client"
 )
 
 // Config is what the operator's command is told.
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -20,7 +20,7 @@
 	"strings"
 	"time"
 
-	"mothridge/internal/registry"
+	"barleywick/internal/registry"
 )
 
 // Step is how far a drain has come.
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/registry"
+	"barleywick/internal/registry"
 )
 
 var errCrash = errors.New("the command crashed")
--- a/internal/drain/fleet.go
+++ b/internal/drain/fleet.go
@@ -12,8 +12,8 @@
 	"syscall"
 	"time"
 
-	"mothridge/internal/registry"
-	"mothridge/internal/settings"
+	"barleywick/internal/registry"
+	"barleywick/internal/settings"
 )
 
 const (
--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"mothridge/internal/registry"
+	"barleywick/internal/registry"
 )
 
 const (
--- a/internal/registry/client/register.go
+++ b/internal/registry/client/register.go
@@ -6,7 +6,7 @@
 	"log/slog"
 	"time"
 
-	"mothridge/internal/registry"
+	"barleywick/internal/registry"
 )
 
 const (
--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -20,7 +20,7 @@
 	"strings"
 	"time"
 
-	"mothridge/internal/registry"
+	"barleywick/internal/registry"
 )
 
 // Listing is discovery's news of the upstreams: the whole list or what changed.
--- a/internal/registry/client/watch_test.go
+++ b/internal/registry/client/watch_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/registry"
-	"mothridge/internal/registry/registrytest"
+	"barleywick/internal/registry"
+	"barleywick/internal/registry/registrytest"
 )
 
 const patience = 10 * time.Second // how long a test waits for an event; it never has to in a good run
--- a/internal/registry/registrytest/fake.go
+++ b/internal/registry/registrytest/fake.go
@@ -10,7 +10,7 @@
 	"strings"
 	"testing"
 
-	"mothridge/internal/registry"
+	"barleywick/internal/registry"
 )
 
 // Registry is a fake discovery: the test writes the lines of each watch.
--- a/internal/registry/server/config.go
+++ b/internal/registry/server/config.go
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"mothridge/internal/registry"
+	"barleywick/internal/registry"
 )
 
 // Config is what a replica is told.
--- a/internal/registry/server/http.go
+++ b/internal/registry/server/http.go
@@ -18,7 +18,7 @@
 
 	"github.com/hashicorp/raft"
 
-	"mothridge/internal/registry"
+	"barleywick/internal/registry"
 )
 
 const (
--- a/internal/registry/server/load_test.go
+++ b/internal/registry/server/load_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/registry"
+	"barleywick/internal/registry"
 )
 
 const (
--- a/internal/registry/server/machine.go
+++ b/internal/registry/server/machine.go
@@ -8,7 +8,7 @@
 
 	"github.com/hashicorp/raft"
 
-	"mothridge/internal/registry"
+	"barleywick/internal/registry"
 )
 
 // machine is the state under Raft: commands come in from the log one by one, and
--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -17,7 +17,7 @@
 
 	"github.com/hashicorp/raft"
 
-	"mothridge/internal/registry"
+	"barleywick/internal/registry"
 )
 
 const (
--- a/internal/registry/server/server_test.go
+++ b/internal/registry/server/server_test.go
@@ -22,8 +22,8 @@
 
 	"github.com/hashicorp/raft"
 
-	"mothridge/internal/registry"
-	"mothridge/internal/registry/client"
+	"barleywick/internal/registry"
+	"barleywick/internal/registry/client"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"mothridge/policy"
+	"barleywick/policy"
 )
 
 // Millis turns milliseconds on the wire into a duration. What no duration can
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"mothridge/policy"
+	"barleywick/policy"
 )
 
 func TestMillis(t *testing.T) {
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"mothridge/policy"
+	"barleywick/policy"
 )
 
 const (
--- a/internal/sidecar/client_test.go
+++ b/internal/sidecar/client_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/admission"
+	"barleywick/internal/admission"
 
-	"mothridge/internal/registry/registrytest"
+	"barleywick/internal/registry/registrytest"
 )
 
 func TestServesTheWholeBodyUnchanged(t *testing.T) {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -11,9 +11,9 @@
 	"strconv"
 	"time"
 
-	"mothridge/internal/registry/client"
-	"mothridge/internal/settings"
-	"mothridge/policy"
+	"barleywick/internal/registry/client"
+	"barleywick/internal/settings"
+	"barleywick/policy"
 )
 
 // Config is what one sidecar is told at its start.
@@ -57,7 +57,7 @@
 func LoadConfig(getenv func(string) string) (*Config, error) {
 	path := getenv("ROUTER_CONFIG")
 	if path == "" {
-		return nil, fmt.Errorf("ROUTER_CONFIG is not set")
+		return nil, fmt.Errorf("ROUTER_CONFIG is not set: it names the configuration file")
 	}
 	c, err := readConfig(path, nil)
 	if err != nil {
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"mothridge/internal/admission"
+	"barleywick/internal/admission"
 )
 
 // clientConn is a client's connection. Closing it between requests and taking a
--- a/internal/sidecar/connections_test.go
+++ b/internal/sidecar/connections_test.go
@@ -19,8 +19,8 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/registry/registrytest"
-	"mothridge/policy"
+	"barleywick/internal/registry/registrytest"
+	"barleywick/policy"
 )
 
 // dialFrom opens a connection from a loopback address of its own.
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/registry/client"
-	"mothridge/internal/registry/registrytest"
-	"mothridge/policy"
+	"barleywick/internal/registry/client"
+	"barleywick/internal/registry/registrytest"
+	"barleywick/policy"
 )
 
 // A module that asks gets its watch again after a failure, through the whole program.
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/registry/client"
-	"mothridge/internal/registry/registrytest"
-	"mothridge/policy"
+	"barleywick/internal/registry/client"
+	"barleywick/internal/registry/registrytest"
+	"barleywick/policy"
 )
 
 // A server that drains gets nothing new from the moment on that the sidecar is
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 
-	"mothridge/internal/admission"
+	"barleywick/internal/admission"
 )
 
 const (
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"mothridge/internal/admission"
+	"barleywick/internal/admission"
 )
 
 const (
--- a/internal/sidecar/load_test.go
+++ b/internal/sidecar/load_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/registry/registrytest"
+	"barleywick/internal/registry/registrytest"
 )
 
 // The load on client connections, for before and after: go test -run xxx -bench
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -11,9 +11,9 @@
 	"sync/atomic"
 	"time"
 
-	"mothridge/internal/registry/client"
-	"mothridge/internal/settings"
-	"mothridge/policy"
+	"barleywick/internal/registry/client"
+	"barleywick/internal/settings"
+	"barleywick/policy"
 )
 
 // request is a client's request while it is held. The fields that go to an
--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/registry/registrytest"
-	"mothridge/policy"
+	"barleywick/internal/registry/registrytest"
+	"barleywick/policy"
 )
 
 const patience = 10 * time.Second // how long a test waits for an event; it never has to in a good run
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"mothridge/internal/queue"
+	"barleywick/internal/queue"
 )
 
 // peer is one upstream to the pool. It stands for the host and not for its
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"mothridge/internal/registry/client"
-	"mothridge/policy"
+	"barleywick/internal/registry/client"
+	"barleywick/policy"
 )
 
 const sweepEvery = time.Second
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/registry/registrytest"
-	"mothridge/policy"
+	"barleywick/internal/registry/registrytest"
+	"barleywick/policy"
 )
 
 // A planned restart: what was taken is answered, connections that still come are
--- a/internal/sidecar/takeover.go
+++ b/internal/sidecar/takeover.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"mothridge/policy"
+	"barleywick/policy"
 )
 
 // Take-over: a new process takes the place of one that serves, without a gap. The
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -12,8 +12,8 @@
 	"strconv"
 	"time"
 
-	"mothridge/internal/settings"
-	"mothridge/policy"
+	"barleywick/internal/settings"
+	"barleywick/policy"
 )
 
 // maxBody is what a request may hold.
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/registry/registrytest"
-	"mothridge/internal/settings"
-	"mothridge/policy"
+	"barleywick/internal/registry/registrytest"
+	"barleywick/internal/settings"
+	"barleywick/policy"
 )
 
 func mustURL(s string) *url.URL {
--- a/internal/systemtest/drain_test.go
+++ b/internal/systemtest/drain_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/drain"
-	"mothridge/internal/registry"
+	"barleywick/internal/drain"
+	"barleywick/internal/registry"
 )
 
 // workflow is an operator's drain of whole machines.
--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -24,10 +24,10 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/registry"
-	"mothridge/internal/registry/client"
-	"mothridge/internal/registry/server"
-	"mothridge/internal/sidecar"
+	"barleywick/internal/registry"
+	"barleywick/internal/registry/client"
+	"barleywick/internal/registry/server"
+	"barleywick/internal/sidecar"
 )
 
 const patience = 60 * time.Second // how long a test waits for an event; it never has to in a good run
--- a/internal/systemtest/registry_test.go
+++ b/internal/systemtest/registry_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/registry"
+	"barleywick/internal/registry"
 )
 
 // Three replicas, sidecars with requests through them and booking servers: the
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"math"
 	"time"
 
-	"mothridge/internal/settings"
+	"barleywick/internal/settings"
 )
 
 // Event codes.
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"mothridge/policy"
+	"barleywick/policy"
 )
 
 // sidecar is the program that embeds the module: it carries out its decisions.
