--- /dev/null
+++ b/internal/emulator/record.go
@@ -0,0 +1,278 @@
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Record is what came of a day.
+type Record struct {
+	Scenario string        `json:"scenario"`
+	Seed     uint64        `json:"seed"`
+	Sidecars int           `json:"sidecars"`
+	Servers  int           `json:"servers"`
+	Zones    []string      `json:"zones"`
+	Length   time.Duration `json:"length_ns"`
+	Partial  bool          `json:"partial,omitempty"` // it was cut short
+
+	// Goodput is the worth served, in parts of the worth asked for; Result also
+	// minds the worst 10 s, class and tenant, and the prices.
+	Goodput float64 `json:"goodput"`
+	Result  float64 `json:"result"`
+	Prices  float64 `json:"prices"`
+
+	Asked      int `json:"asked"` // first tries
+	Served     int `json:"served"`
+	Late       int `json:"late"`    // of those, after the aim
+	Refused    int `json:"refused"` // ended with a refusal
+	Failed     int `json:"failed"`
+	Left       int `json:"left"` // their clients went away
+	Tries      int `json:"tries"`
+	Sends      int `json:"sends"`
+	TurnedAway int `json:"turned_away"`
+	Handshakes int `json:"handshakes"`
+	Probes     int `json:"probes"`
+	Crossed    int `json:"crossed"`
+	ListCalls  int `json:"list_calls"`
+	ListFailed int `json:"list_failed"`
+	Restarts   int `json:"restarts"`
+	Fell       int `json:"fell"`
+	Events     int `json:"events"`
+
+	P50MS  float64 `json:"p50_ms"`
+	P99MS  float64 `json:"p99_ms"`
+	P999MS float64 `json:"p999_ms"`
+
+	Classes []Part   `json:"classes"`
+	Tenants []Part   `json:"tenants"`
+	Windows []Window `json:"windows"` // of a second each, by when the first try came
+
+	Troubles []Trouble `json:"troubles"`
+	Breaches [5]int    `json:"breaches"` // by rule, from 1 on
+	Broken   []string  `json:"broken,omitempty"`
+	Judged   struct {
+		Requests, Answers, Sends, Repeats, ColdSends int
+	} `json:"judged"`
+
+	wasted, offered                                           float64
+	lateWorth                                                 float64
+	sends, turnedAway, handshakes, probes, crossed, listCalls int
+	listFailures, restarts, fell                              int
+	latency                                                   *hdrhistogram.Histogram
+	perWindow                                                 []*hdrhistogram.Histogram
+	sc                                                        *Scenario
+}
+
+// Part is the worth of a class or tenant.
+type Part struct {
+	Name  string  `json:"name"`
+	Asked float64 `json:"asked"`
+	Got   float64 `json:"got"`
+}
+
+// share is the part that was served; 1 where nothing was asked.
+func (p Part) share() float64 {
+	if p.Asked == 0 {
+		return 1
+	}
+	return p.Got / p.Asked
+}
+
+// Window is one second of a day.
+type Window struct {
+	Part
+	Requests int       `json:"requests"`
+	Refused  int       `json:"refused"`
+	Failed   int       `json:"failed"`
+	Late     int       `json:"late"`
+	P50MS    float64   `json:"p50_ms"`
+	P99MS    float64   `json:"p99_ms"`
+	Queue    []int     `json:"queue"`    // by zone, at its begin: requests that wait at servers
+	Capacity []float64 `json:"capacity"` // by zone, at its begin: work a second
+}
+
+const (
+	leastLatency = 1        // microseconds
+	mostLatency  = 60 * 1e6 // as much as any deadline
+	digits       = 2        // of a latency: a hundredth is finer than the noise
+)
+
+func newRecord(sc *Scenario, seed uint64) *Record {
+	r := &Record{
+		Scenario: sc.Name, Seed: seed, Sidecars: sc.Sidecars, Servers: sc.Servers, Zones: sc.Zones, Length: time.Duration(sc.Length),
+		Troubles: sc.Troubles, latency: hdrhistogram.New(leastLatency, mostLatency, digits), sc: sc,
+	}
+	for _, c := range sc.Classes {
+		r.Classes = append(r.Classes, Part{Name: c.Name})
+	}
+	for _, t := range sc.Tenants {
+		r.Tenants = append(r.Tenants, Part{Name: t.Name})
+	}
+	n := int(math.Ceil(sc.Length.seconds()))
+	r.Windows = make([]Window, n)
+	r.perWindow = make([]*hdrhistogram.Histogram, n)
+	return r
+}
+
+// sample notes the servers' state at each second.
+func (r *Record) sample(s *Sim) {
+	i := int((s.now - dawn) / time.Second)
+	if i >= len(r.Windows) {
+		return
+	}
+	w := &r.Windows[i]
+	w.Queue, w.Capacity = make([]int, len(s.sc.Zones)), make([]float64, len(s.sc.Zones))
+	for _, sv := range s.servers {
+		_, waiting := sv.Held()
+		w.Queue[sv.Zone] += waiting
+		if !sv.Draining && !sv.Silent {
+			w.Capacity[sv.Zone] += sv.Capacity(s.now)
+		}
+	}
+	s.after(time.Second, func() { r.sample(s) })
+}
+
+func (r *Record) window(at time.Duration) *Window { return &r.Windows[r.windowIndex(at)] }
+
+func (r *Record) windowIndex(at time.Duration) int {
+	return min(len(r.Windows)-1, int((at-dawn)/time.Second))
+}
+
+// asked takes a first try.
+func (r *Record) asked(k *call) {
+	r.Asked++
+	r.offered += k.work
+	r.Classes[k.class].Asked += k.worth
+	if k.within {
+		r.Tenants[k.tenant].Asked += k.worth
+	}
+	w := r.window(k.began)
+	w.Requests++
+	w.Part.Asked += k.worth
+}
+
+// answered takes the answer to a try.
+func (r *Record) answered(s *Sim, k *call, a Answer) {
+	r.Tries++
+	if a != AnswerServed || k.done {
+		return
+	}
+	r.Served++
+	took := s.now - k.began
+	got := k.worth
+	w := r.window(k.began)
+	if s.now > k.aimAt {
+		got *= s.sc.Classes[k.class].LateWorth
+		r.lateWorth += k.worth - got
+		r.Late++
+		w.Late++
+	}
+	r.Classes[k.class].Got += got
+	if k.within {
+		r.Tenants[k.tenant].Got += got
+	}
+	w.Got += got
+	i := r.windowIndex(k.began)
+	if r.perWindow[i] == nil {
+		r.perWindow[i] = hdrhistogram.New(leastLatency, mostLatency, digits)
+	}
+	for _, h := range []*hdrhistogram.Histogram{r.latency, r.perWindow[i]} {
+		_ = h.RecordValue(min(max(took.Microseconds(), leastLatency), mostLatency)) // in range by the line itself
+	}
+}
+
+// unserved takes that a client has given up.
+func (r *Record) unserved(s *Sim, k *call) {
+	if s.now > k.aimAt {
+		r.lateWorth += k.worth
+	}
+	if k.refusedOnly {
+		r.Refused++
+		r.window(k.began).Refused++
+		return
+	}
+	r.Failed++
+	r.window(k.began).Failed++
+}
+
+// left takes that a client went away early: nothing was asked of anybody then.
+func (r *Record) left(k *call) {
+	r.Left++
+	r.Classes[k.class].Asked -= k.worth
+	if k.within {
+		r.Tenants[k.tenant].Asked -= k.worth
+	}
+	r.window(k.began).Part.Asked -= k.worth
+}
+
+// The parts of the result, as the operators weigh them.
+const (
+	weightWhole  = 0.45
+	weightWorst  = 0.15
+	weightClass  = 0.30
+	weightTenant = 0.10
+	worstWindow  = 10 // seconds
+)
+
+// finish sums the day up.
+func (r *Record) finish(s *Sim, partial bool) {
+	r.Partial = partial
+	r.Events = int(s.count)
+	r.Sends, r.TurnedAway, r.Handshakes, r.Probes, r.Crossed = r.sends, r.turnedAway, r.handshakes, r.probes, r.crossed
+	r.ListCalls, r.ListFailed, r.Restarts, r.Fell = r.listCalls, r.listFailures, r.restarts, r.fell
+	var whole Part
+	class, tenant, worst := 1.0, 1.0, 1.0
+	for _, p := range r.Classes {
+		whole.Asked += p.Asked
+		whole.Got += p.Got
+		class = min(class, p.share())
+	}
+	for _, p := range r.Tenants {
+		tenant = min(tenant, p.share())
+	}
+	for i := range r.Windows {
+		if h := r.perWindow[i]; h != nil {
+			r.Windows[i].P50MS, r.Windows[i].P99MS = float64(h.ValueAtQuantile(50))/1e3, float64(h.ValueAtQuantile(99))/1e3
+		}
+		if i+worstWindow > len(r.Windows) && i > 0 {
+			continue
+		}
+		var sum Part
+		for _, w := range r.Windows[i:min(len(r.Windows), i+worstWindow)] {
+			sum.Asked += w.Part.Asked
+			sum.Got += w.Got
+		}
+		worst = min(worst, sum.share())
+	}
+	r.Goodput = whole.share()
+	if n := float64(r.Asked); n > 0 {
+		p := s.sc.Prices
+		r.Prices = (p.CrossZone*float64(r.crossed) + p.Probe*float64(r.probes) + p.Handshake*float64(r.handshakes)) / n
+		if r.offered > 0 {
+			r.Prices += p.Waste * r.wasted / r.offered
+		}
+		if whole.Asked > 0 {
+			r.Prices += p.LateFail * r.lateWorth / whole.Asked
+		}
+	}
+	r.Result = weightWhole*r.Goodput + weightWorst*worst + weightClass*class + weightTenant*tenant - r.Prices
+	r.P50MS = float64(r.latency.ValueAtQuantile(50)) / 1e3
+	r.P99MS = float64(r.latency.ValueAtQuantile(99)) / 1e3
+	r.P999MS = float64(r.latency.ValueAtQuantile(99.9)) / 1e3
+	c := s.check
+	r.Breaches, r.Broken = c.Breaches, c.Broken
+	r.Judged.Requests, r.Judged.Answers, r.Judged.Sends, r.Judged.Repeats, r.Judged.ColdSends = c.Requests, c.Answers, c.Sends, c.Repeats, c.ColdSends
+}
+
+// Line is the day in one line.
+func (r *Record) Line() string {
+	rules := "rules kept"
+	if len(r.Broken) > 0 {
+		rules = fmt.Sprintf("RULES BROKEN %v: %s", r.Breaches[1:], r.Broken[0])
+	}
+	return fmt.Sprintf("%-10s seed %-4d goodput %.3f  result %.3f  asked %d  late %d  refused %d  failed %d  p50 %.0f ms  p99 %.0f ms  %s",
+		r.Scenario, r.Seed, r.Goodput, r.Result, r.Asked, r.Late, r.Refused, r.Failed, r.P50MS, r.P99MS, rules)
+}
--- /dev/null
+++ b/internal/emulator/scenario_test.go
@@ -0,0 +1,71 @@
+package emulator
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+func TestScenarioFileIsReadStrictly(t *testing.T) {
+	s, err := Read(strings.NewReader("name = \"mine\"\nlength = \"12s\"\nsidecars = 4\n[network]\nfar = \"20ms\"\n[[troubles]]\nname = \"slow\"\nat = \"1s\"\nfor = \"2s\"\npart = 0.5\nsize = 3\n"))
+	if err != nil || s.Name != "mine" || time.Duration(s.Network.Far) != 20*time.Millisecond || s.Servers != Base().Servers || len(s.Troubles) != 1 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	for text, want := range map[string]string{
+		"sidecar = 4":                    "line 1: there is no field sidecar",
+		"\nsidecars = \"many\"":          "line 2: sidecars",
+		"[network]\nfar = \"far\"":       "no duration",
+		"load = -1":                      "load is -1",
+		"load = nan":                     "load is NaN",
+		"servers = 100000":               "servers is 100000",
+		"zones = []":                     "zones is 0",
+		"[[troubles]]\nname = \"flood\"": `there is no trouble "flood"`,
+		"[[troubles]]\nname = \"slow\"\nsize = 0.5":    "troubles[0]: slow: size is 0.5",
+		"[[troubles]]\nname = \"kill\"\npart = 2":      "part is 2",
+		"[[troubles]]\nname = \"kill\"\nat = \"-1s\"":  "must not be negative",
+		"[[troubles]]\nname = \"partition\"\nzone = 7": "zone is 7",
+		"[[classes]]\nname = \"x\"":                    "classes[0]",
+		"length = ":                                    "line 1",
+	} {
+		_, err := Read(strings.NewReader(text))
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v; want one line with %q", text, err, want)
+		}
+	}
+}
+
+// What is written can be read again and is the same.
+func TestScenarioRoundTrip(t *testing.T) {
+	names, _ := PresetNames()
+	for _, name := range names {
+		text, err := toml.Marshal(day(t, name, 7, 9))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := Read(bytes.NewReader(text))
+		if err != nil {
+			t.Fatalf("%s: %v\n%s", name, err, text)
+		}
+		again, err := toml.Marshal(s)
+		if err != nil || !bytes.Equal(again, text) {
+			t.Errorf("%s: %v: became\n%s", name, err, again)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte("name = \"x\"\nlength = \"2s\"\n[list]\nper_ms = 3.5\n[[troubles]]\nname = \"slow\"\nat = \"1s\"\nsize = 2\n"))
+	f.Add([]byte("zones = [\"a\"]\n[[tenants]]\nname = \"t\"\nshare = 1\nusage = 1\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Read(bytes.NewReader(text))
+		if err == nil && s.Check() != nil {
+			t.Error("read, and of no use")
+		}
+		if err != nil && !strings.HasPrefix(err.Error(), "scenario: ") {
+			t.Errorf("%v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/emulator/sim_test.go
@@ -0,0 +1,287 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"barleywick/policy"
+)
+
+func play(t testing.TB, sc *Scenario, seed uint64, decide Make) *Record {
+	t.Helper()
+	s, err := NewSim(sc, seed, decide)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := s.Run(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func day(t testing.TB, name string, sidecars, servers int) *Scenario {
+	t.Helper()
+	sc, err := Preset(name, sidecars, servers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sc
+}
+
+// Every named day: the real module keeps the rules, there was something to judge,
+// and the same seed gives the same day to the last digit.
+func TestEveryDayKeepsTheRulesAndRepeats(t *testing.T) {
+	names, _ := PresetNames()
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			text := func(seed uint64) string {
+				r := play(t, day(t, name, 30, 20), seed, Balancer)
+				if len(r.Broken) > 0 {
+					t.Errorf("seed %d: %v %v", seed, r.Breaches, r.Broken)
+				}
+				if r.Judged.Answers < 5000 || r.Goodput < 0.5 || r.Goodput > 1 || r.Result > r.Goodput+1e-9 {
+					t.Errorf("seed %d: %+v", seed, r.Line())
+				}
+				if ended := r.Served + r.Refused + r.Failed + r.Left; ended > r.Asked || ended < r.Asked*9/10 {
+					t.Errorf("seed %d: %d calls ended of %d", seed, ended, r.Asked)
+				}
+				out, err := json.Marshal(r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return string(out)
+			}
+			first := text(3)
+			if text(3) != first {
+				t.Error("the same seed gave another day")
+			}
+			if text(4) == first {
+				t.Error("another seed gave the same day")
+			}
+		})
+	}
+}
+
+// meddler stands between a module and its host, and between the list and the module.
+type meddler struct {
+	*policy.Balancer
+	policy.Host
+	classes map[policy.RequestID]int
+	newest  policy.ServerID // where all goes; 0: where the module says
+	send    func(m *meddler, id policy.RequestID, to policy.ServerID, timeout time.Duration)
+	refuse  func(m *meddler, id policy.RequestID, pause time.Duration)
+	list    func(kind policy.ListKind, entries []policy.Server) []policy.Server
+}
+
+func (m *meddler) Wake(d time.Duration) { m.Host.Wake(d) }
+
+func (m *meddler) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+	if m.newest != 0 {
+		to = m.newest
+	}
+	m.Host.Send(id, to, timeout)
+	if m.send != nil {
+		m.send(m, id, to, timeout)
+	}
+}
+
+func (m *meddler) Refuse(id policy.RequestID, pause time.Duration) {
+	if m.refuse != nil {
+		m.refuse(m, id, pause)
+		return
+	}
+	m.Host.Refuse(id, pause)
+}
+
+// decider is the meddler as the emulator drives it.
+type decider struct{ *meddler }
+
+func (d decider) Wake(now time.Duration) { d.Balancer.Wake(now) }
+
+func (d decider) Request(now time.Duration, q policy.Request) {
+	d.classes[q.ID] = q.Class
+	d.Balancer.Request(now, q)
+}
+
+func (d decider) List(now time.Duration, kind policy.ListKind, entries []policy.Server) {
+	if d.list != nil {
+		entries = d.list(kind, slices.Clone(entries))
+	}
+	d.Balancer.List(now, kind, entries)
+}
+
+// meddling makes modules that are meddled with.
+func meddling(meddle func(*meddler)) Make {
+	return func(cfg policy.Config, seed uint64, host policy.Host) (Decider, error) {
+		m := &meddler{Host: host, classes: make(map[policy.RequestID]int)}
+		meddle(m)
+		var err error
+		m.Balancer, err = policy.New(cfg, seed, m)
+		return decider{m}, err
+	}
+}
+
+// A rule that is broken on purpose is found, and no other is said to be broken.
+func TestEachBrokenRuleIsFound(t *testing.T) {
+	const unsafe = 1 // class
+	overload := day(t, "overload", 10, 8)
+	join := day(t, "join", 10, 20)
+	for name, c := range map[string]struct {
+		rule   int
+		sc     *Scenario
+		meddle func(*meddler)
+	}{
+		"a refusal that never goes out": {1, overload, func(m *meddler) {
+			m.refuse = func(*meddler, policy.RequestID, time.Duration) {}
+		}},
+		"a send after the end": {1, overload, func(m *meddler) {
+			m.refuse = func(m *meddler, id policy.RequestID, pause time.Duration) {
+				m.Host.Refuse(id, pause)
+				m.Host.Send(id, 1, time.Second)
+			}
+		}},
+		"an unsafe request sent twice": {2, day(t, "calm", 10, 8), func(m *meddler) {
+			m.send = func(m *meddler, id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+				if m.classes[id] == unsafe && id%50 == 0 {
+					m.Host.Send(id, to, timeout)
+				}
+			}
+		}},
+		"a refusal of what is running": {2, day(t, "calm", 10, 8), func(m *meddler) {
+			m.send = func(m *meddler, id policy.RequestID, _ policy.ServerID, _ time.Duration) {
+				if id%50 == 0 {
+					m.Host.Refuse(id, 0)
+				}
+			}
+		}},
+		"sends to servers that drain": {3, day(t, "roll", 10, 20), func(m *meddler) {
+			m.list = func(kind policy.ListKind, entries []policy.Server) []policy.Server {
+				for i := range entries {
+					entries[i].State = policy.Ready
+				}
+				return entries
+			}
+		}},
+		"a flood at a cold server": {4, join, func(m *meddler) {
+			m.list = func(_ policy.ListKind, entries []policy.Server) []policy.Server {
+				for _, e := range entries {
+					switch {
+					case e.State != policy.Ready && e.ID == m.newest:
+						m.newest = 0
+					case e.State == policy.Ready && e.Started > 0:
+						m.newest = e.ID
+					}
+				}
+				return entries
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := play(t, c.sc, 1, meddling(c.meddle))
+			for rule, n := range r.Breaches {
+				if (n > 0) != (rule == c.rule) {
+					t.Errorf("rule %d: %d breaches; want some of rule %d alone", rule, n, c.rule)
+				}
+			}
+			if len(r.Broken) == 0 || !strings.HasPrefix(r.Broken[0], "rule ") {
+				t.Errorf("not in words: %v", r.Broken)
+			}
+		})
+	}
+	t.Run("the meddler itself breaks nothing", func(t *testing.T) {
+		if r := play(t, join, 1, meddling(func(*meddler) {})); len(r.Broken) > 0 {
+			t.Error(r.Broken)
+		}
+	})
+}
+
+// A day without a request has not been judged.
+func TestADayOfNothingIsNotPassed(t *testing.T) {
+	sc := day(t, "slow", 3, 4)
+	sc.Load = 0
+	if r := play(t, sc, 1, Balancer); len(r.Broken) != 1 || !strings.Contains(r.Broken[0], "nothing to judge") {
+		t.Errorf("%v", r.Broken)
+	}
+}
+
+func TestADayCutShortIsTold(t *testing.T) {
+	s, err := NewSim(day(t, "calm", 10, 8), 1, Balancer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.plan(dawn+10*time.Second, cancel)
+	r, err := s.Run(ctx)
+	if !errors.Is(err, context.Canceled) || !r.Partial || r.Asked < 300 || r.Served == 0 {
+		t.Errorf("error %v, %+v", err, r)
+	}
+}
+
+// Two variants are asked for the same, whatever they make of it.
+func TestVariantsAreAskedForTheSame(t *testing.T) {
+	wide, narrow := day(t, "slow", 10, 8), day(t, "slow", 10, 8)
+	narrow.Slots = 7
+	a, b := play(t, wide, 5, Balancer), play(t, narrow, 5, Balancer)
+	if a.Asked != b.Asked || a.offered != b.offered {
+		t.Errorf("asked for %d (%v) and %d (%v)", a.Asked, a.offered, b.Asked, b.offered)
+	}
+	if a.Served == b.Served {
+		t.Error("the variants don't differ: the test shows nothing")
+	}
+}
+
+// Memory is bounded under endless overload: what is held at the end is what is open.
+func TestOverloadLeavesNothingBehind(t *testing.T) {
+	sc := day(t, "overload", 5, 4)
+	s, err := NewSim(sc, 1, Balancer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Run(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range s.nodes {
+		if len(n.open) > 0 {
+			t.Errorf("sidecar %d holds %d requests after the day", n.index, len(n.open))
+		}
+	}
+	for _, sv := range s.servers {
+		idle := 0
+		for _, n := range s.nodes {
+			idle += len(n.idle[sv.Index])
+		}
+		if sv.Open != idle {
+			t.Errorf("server %d has %d connections, the sidecars hold %d", sv.Index, sv.Open, idle)
+		}
+	}
+}
+
+// BenchmarkDay plays ten seconds with fleets of several sizes. 3,000 sidecars take minutes.
+func BenchmarkDay(b *testing.B) {
+	for _, size := range []struct{ sidecars, servers int }{{30, 20}, {100, 67}, {300, 200}, {1000, 667}, {3000, 2000}} {
+		b.Run(fmt.Sprintf("%dx%d", size.sidecars, size.servers), func(b *testing.B) {
+			if size.sidecars > 300 && testing.Short() {
+				b.Skip("it takes minutes")
+			}
+			sc := day(b, "slow", size.sidecars, size.servers)
+			sc.Stretch(10 * time.Second)
+			requests, events := 0, 0
+			for b.Loop() {
+				r := play(b, sc, 1, Balancer)
+				requests, events = requests+r.Asked, events+r.Events
+			}
+			b.ReportMetric(float64(requests)/b.Elapsed().Seconds(), "requests/s")
+			b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+			b.ReportMetric(sc.Length.seconds()*float64(b.N)/b.Elapsed().Seconds(), "x-real-time")
+		})
+	}
+}
--- /dev/null
+++ b/internal/emulator/trouble.go
@@ -0,0 +1,239 @@
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Trouble is something that goes wrong for a while.
+type Trouble struct {
+	Name  string  `toml:"name"`
+	At    Span    `toml:"at"`
+	For   Span    `toml:"for"`
+	Part  float64 `toml:"part"`  // of the servers, sidecars or requests that it befalls
+	Size  float64 `toml:"size"`  // how bad it is; see troubleKinds
+	Extra Span    `toml:"extra"` // a time that some troubles have
+	Zone  int     `toml:"zone"`  // where it happens, for those that happen in a zone
+}
+
+// troubleKind is what a trouble does.
+type troubleKind struct {
+	what        string
+	least, most float64 // of Size
+	begin       func(*Sim, *Trouble) (undo func())
+}
+
+// troubleKinds has all troubles by name. A trouble's begin is called at its time
+// and the function that it returns, if any, when its time is over.
+var troubleKinds = map[string]troubleKind{
+	"slow":        {"servers run size times slower", 1, 1000, (*Sim).slow},
+	"fast_errors": {"servers fail that share of their requests at once", 0, 1, (*Sim).fastErrors},
+	"neighbour":   {"something else takes that part of the machines, on and off every extra", 0, 0.99, (*Sim).neighbour},
+	"heavy_tail":  {"part of the first class's requests cost size times the usual work", 1, 1000, (*Sim).heavyTail},
+	"burst":       {"clients ask for size times as much", 0, 100, (*Sim).burst},
+	"kill":        {"server processes are killed; they start again, cold, when it is over", 0, 0, (*Sim).killServers},
+	"vanish":      {"machines are cut off from everybody and say nothing", 0, 0, (*Sim).vanish},
+	"replace":     {"servers are drained and replaced by new ones, one after the other over its time; each has extra to finish", 0, 0, (*Sim).replace},
+	"zone_lost":   {"a zone's servers are killed and come back cold when it is over", 0, 0, (*Sim).zoneLost},
+	"partition":   {"a zone cannot reach the others, nor they it", 0, 0, (*Sim).partition},
+	"list_down":   {"the list service is down", 0, 0, (*Sim).listDown},
+	"stale_list":  {"the list service learns of everything extra later", 0, 0, (*Sim).staleList},
+	"spoilt":      {"answers arrive spoilt: the request has run", 0, 0, (*Sim).spoilt},
+	"reset":       {"connections break under requests", 0, 0, (*Sim).resets},
+	"herd":        {"sidecars are killed at once; they are back, knowing only their old lists, after extra", 0, 0, (*Sim).herd},
+	"roll":        {"sidecars are restarted one after the other over its time; each is back after extra", 0, 0, (*Sim).roll},
+}
+
+// TroubleNames lists the troubles there are, sorted, each with what it does.
+func TroubleNames() (names []string, what map[string]string) {
+	what = make(map[string]string, len(troubleKinds))
+	for name, k := range troubleKinds {
+		names = append(names, name)
+		what[name] = k.what
+	}
+	slices.Sort(names)
+	return names, what
+}
+
+func (t Trouble) check(s *Scenario) error {
+	k, known := troubleKinds[t.Name]
+	names, _ := TroubleNames()
+	switch {
+	case !known:
+		return fmt.Errorf("name: there is no trouble %q; there are %s", t.Name, strings.Join(names, ", "))
+	case t.At < 0 || t.For < 0 || t.Extra < 0:
+		return fmt.Errorf("%s: at, for and extra must not be negative", t.Name)
+	case time.Duration(t.At) > maxLength || time.Duration(t.For) > maxLength || time.Duration(t.Extra) > maxLength:
+		return fmt.Errorf("%s: at, for or extra is more than %v", t.Name, maxLength)
+	case !(t.Part >= 0 && t.Part <= 1):
+		return fmt.Errorf("%s: part is %g, it must lie between 0 and 1", t.Name, t.Part)
+	case !(t.Size >= k.least && t.Size <= k.most) && k.most > 0:
+		return fmt.Errorf("%s: size is %g, it must lie between %g and %g", t.Name, t.Size, k.least, k.most)
+	case t.Zone < 0 || t.Zone >= len(s.Zones):
+		return fmt.Errorf("%s: zone is %d, there are %d", t.Name, t.Zone, len(s.Zones))
+	}
+	return nil
+}
+
+// befallen picks a part of n, at random and in order.
+func (s *Sim) befallen(n int, part float64) []int {
+	picked := s.luck.Perm(n)[:int(math.Round(part*float64(n)))]
+	slices.Sort(picked)
+	return picked
+}
+
+// afflict changes some servers for a while.
+func (s *Sim) afflict(t *Trouble, change func(sv *Server, on bool)) func() {
+	var some []*Server
+	live := s.live()
+	for _, i := range s.befallen(len(live), t.Part) {
+		some = append(some, live[i])
+	}
+	set := func(on bool) {
+		for _, sv := range some {
+			s.touch(sv) // up to now it was as before
+			change(sv, on)
+			s.touch(sv)
+		}
+	}
+	set(true)
+	return func() { set(false) }
+}
+
+func pick(on bool, yes, no float64) float64 {
+	if on {
+		return yes
+	}
+	return no
+}
+
+func (s *Sim) slow(t *Trouble) func() {
+	return s.afflict(t, func(sv *Server, on bool) { sv.Slow = pick(on, t.Size, 1) })
+}
+
+func (s *Sim) fastErrors(t *Trouble) func() {
+	return s.afflict(t, func(sv *Server, on bool) { sv.Failing = pick(on, t.Size, 0) })
+}
+
+func (s *Sim) vanish(t *Trouble) func() {
+	return s.afflict(t, func(sv *Server, on bool) { s.silence(sv, on) })
+}
+
+func (s *Sim) neighbour(t *Trouble) func() {
+	over := false
+	var undo func()
+	var turn func()
+	every := max(time.Duration(t.Extra), 100*time.Millisecond)
+	some := *t
+	turn = func() {
+		if undo != nil {
+			undo()
+			undo = nil
+		} else if !over {
+			undo = s.afflict(&some, func(sv *Server, on bool) { sv.Neighbour = pick(on, t.Size, 0) })
+		}
+		if !over {
+			s.after(every, turn)
+		}
+	}
+	turn()
+	return func() {
+		over = true
+		if undo != nil {
+			undo()
+			undo = nil
+		}
+	}
+}
+
+func (s *Sim) heavyTail(t *Trouble) func() {
+	s.heavyPart, s.heavySize = t.Part, t.Size
+	return func() { s.heavyPart = 0 }
+}
+
+func (s *Sim) burst(t *Trouble) func() {
+	s.surge *= t.Size
+	return func() { s.surge /= t.Size }
+}
+
+func (s *Sim) killServers(t *Trouble) func() {
+	var dead []*Server
+	live := s.live()
+	for _, i := range s.befallen(len(live), t.Part) {
+		dead = append(dead, live[i])
+		s.kill(live[i])
+	}
+	return func() { s.revive(dead) }
+}
+
+func (s *Sim) zoneLost(t *Trouble) func() {
+	var dead []*Server
+	for _, sv := range s.live() {
+		if sv.Zone == t.Zone {
+			dead = append(dead, sv)
+			s.kill(sv)
+		}
+	}
+	return func() { s.revive(dead) }
+}
+
+// replace drains servers one after the other; each has a successor of the same zone and kind.
+func (s *Sim) replace(t *Trouble) func() {
+	live := s.live()
+	some := s.befallen(len(live), t.Part)
+	for n, i := range some {
+		sv := live[i]
+		s.after(time.Duration(float64(t.For)*float64(n)/float64(len(some))), func() {
+			s.touch(sv)
+			sv.Draining = true
+			s.list.changed(sv)
+			s.add(sv.Zone, sv.Kind, sv.Cell, sv.Speed)
+			s.after(time.Duration(t.Extra), func() { s.kill(sv) })
+		})
+	}
+	return nil
+}
+
+func (s *Sim) partition(t *Trouble) func() {
+	s.cut[t.Zone]++
+	return func() { s.cut[t.Zone]-- }
+}
+
+func (s *Sim) listDown(*Trouble) func() {
+	s.list.fail()
+	return func() { s.list.down = false }
+}
+
+func (s *Sim) staleList(t *Trouble) func() {
+	s.list.later += time.Duration(t.Extra)
+	return func() { s.list.later -= time.Duration(t.Extra) }
+}
+
+func (s *Sim) spoilt(t *Trouble) func() {
+	s.spoiltPart = t.Part
+	return func() { s.spoiltPart = 0 }
+}
+
+func (s *Sim) resets(t *Trouble) func() {
+	s.resetPart = t.Part
+	return func() { s.resetPart = 0 }
+}
+
+func (s *Sim) herd(t *Trouble) func() {
+	for _, i := range s.befallen(len(s.nodes), t.Part) {
+		s.restart(s.nodes[i], time.Duration(t.Extra))
+	}
+	return nil
+}
+
+func (s *Sim) roll(t *Trouble) func() {
+	some := s.befallen(len(s.nodes), t.Part)
+	for n, i := range some {
+		node := s.nodes[i]
+		s.after(time.Duration(float64(t.For)*float64(n)/float64(len(some))), func() { s.restart(node, time.Duration(t.Extra)) })
+	}
+	return nil
+}
