Look for silent servers only when there may be one

At 300 sidecars x 200 servers a profile of the emulator had 37 % of all time in listen, which went over all servers at each tick of each sidecar, with a map look-up for each. A flag now says whether a server or zone may be silent, and each server holds its zone. Ten seconds at 300 x 200 take 1.1 to 1.3 s instead of 2.0 to 2.7 s.

--- a/policy/health.go
+++ b/policy/health.go
@@ -31,7 +31,7 @@
 		b.answered(now, s)
 	case TimedOut:
 		if s.heard <= a.sent {
-			s.silent = true
+			s.silent, b.hush = true, true
 			b.strike(now, s) // nothing at all came from it meanwhile
 		}
 	case Errored, Broken: // one may be chance; a server that fails all it gets is not
@@ -43,7 +43,7 @@
 		}
 		s.doubted = true
 	case NoConnection:
-		s.silent = true
+		s.silent, b.hush = true, true
 		b.strike(now, s)
 	case TurnedAway:
 		b.strike(now, s)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -212,7 +212,7 @@
 		return
 	}
 	if !ok {
-		s.silent = true
+		s.silent, b.hush = true, true
 		b.strike(now, s)
 		b.feed(now)
 		return
@@ -343,7 +343,7 @@
 		b.servers = append(b.servers, s)
 	}
 	fresh := e.Started > s.Started
-	s.Server = e
+	s.Server, s.in = e, b.zone(e.Zone)
 	s.size = b.capacity(e.Weight)
 	if fresh { // cold, and nothing known of it holds any more
 		s.warmAt = max(s.warmAt, e.Started+b.cfg.ColdTime)
--- a/policy/rest.go
+++ b/policy/rest.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		all += s.size
-		if s.unwell || b.resting(now, s) || b.zone(s.Zone).doubted {
+		if s.unwell || b.resting(now, s) || s.in.doubted {
 			idle += s.size
 		}
 	}
--- a/policy/silence.go
+++ b/policy/silence.go
@@ -51,8 +51,7 @@
 
 // spoke takes that a server said something, whatever it was.
 func (b *Balancer) spoke(now time.Duration, s *server) {
-	z := b.zone(s.Zone)
-	z.heard, z.doubted = now, false
+	s.in.heard, s.in.doubted = now, false
 	s.silent = false
 }
 
@@ -68,12 +67,12 @@
 	for _, r := range b.open {
 		for i := range r.attempts {
 			a := &r.attempts[i]
-			z := b.zone(a.to.Zone)
+			z := a.to.in
 			if a.state != inFlight || z.heard > a.sent || now-a.sent < wait {
 				continue
 			}
 			if z.out++; z.out >= doubtSends && !z.doubted {
-				z.doubted, z.probeAt = true, now
+				z.doubted, z.probeAt, b.hush = true, now, true
 			}
 		}
 	}
@@ -85,12 +84,14 @@
 	if !b.cfg.MayProbe {
 		return
 	}
-	for i := range b.servers { // from any of them on, so that a zone's probes go round
+	looked := b.hush
+	b.hush = false
+	for i := 0; looked && i < len(b.servers); i++ { // from any of them on, so that a zone's probes go round
 		s := b.servers[(i+b.listenFrom)%len(b.servers)]
-		if s.State != Ready {
-			continue
-		}
-		switch z := b.zone(s.Zone); {
+		z := s.in
+		b.hush = b.hush || z.doubted || s.silent
+		switch {
+		case s.State != Ready:
 		case z.doubted && now >= z.probeAt:
 			z.probeAt = now + time.Duration(float64(doubtProbe)*(0.5+b.rng.Float64()))
 			b.host.Probe(s.ID)
--- a/policy/silence_test.go
+++ b/policy/silence_test.go
@@ -142,3 +142,20 @@
 		t.Fatalf("%d zones are kept, one is listed", len(b.zones))
 	}
 }
+
+// Guards against this: a silent server drains, is not looked at any more, and stays
+// without requests for ever when its drain is called off.
+func TestSilentServerIsProbedAgainAfterADrain(t *testing.T) {
+	b, h := start(t, probing(), ready(1, 2))
+	b.Probed(0, 1, false, NoLoad)
+	now := ms
+	for _, state := range []State{Draining, Ready} {
+		b.List(now, ListDelta, []Server{{ID: 1, State: state, Weight: 1}})
+		for until := now + 5*time.Second; now < until; now += 50 * ms {
+			b.Wake(now)
+		}
+		if probed := len(h.probes) > 0; probed != (state == Ready) {
+			t.Fatalf("state %v: probes %v", state, h.probes)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -19,6 +19,7 @@
 	used     float64       // mean square of the share of the aim that its answers take, lately
 	spare    bool          // not among this balancer's first choice
 	silent   bool          // it said nothing where it should have: probes, no requests
+	in       *zone         // what is known of its zone
 	unwell   bool          // evidence was against it; it gets trials only
 	slow     int           // answers from behind a queue since the last quick one
 	restTill time.Duration // and until then it gets no turn for them
@@ -102,6 +103,7 @@
 	probes     int
 	zones      map[int]*zone
 	listenFrom int    // where listen begins
+	hush       bool   // a server or zone may be silent: listen looks at each
 	cells      []cell // of the pick under way
 	sizes      []size // what servers can do, by their listed weight
 	count      Counters
--- a/policy/turn.go
+++ b/policy/turn.go
@@ -53,7 +53,7 @@
 // turnable says whether nothing is held against a server at the moment.
 func (b *Balancer) turnable(now time.Duration, s *server) bool {
 	switch {
-	case b.resting(now, s), b.cfg.MayProbe && (s.silent && b.well > 0 || b.zone(s.Zone).doubted),
+	case b.resting(now, s), b.cfg.MayProbe && (s.silent && b.well > 0 || s.in.doubted),
 		b.well > 0 && s.unwell && (now < s.trialAt || s.out > 0), float64(s.out) >= b.portion(s),
 		now-s.toldAt < time.Second && s.others+float64(s.out) >= 2+b.part(b.mean, s): // reported full
 		return false
