--- /dev/null
+++ b/cmd/barleylab/main_test.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"barleywick/internal/cli"
+)
+
+func call(ctx context.Context, args ...string) (status int, out, errs string) {
+	var o, e bytes.Buffer
+	status = cli.Run(ctx, "barleylab", newRoot(), args, &o, &e)
+	return status, o.String(), e.String()
+}
+
+func TestFromADayToAPage(t *testing.T) {
+	folder := t.TempDir()
+	kept, page := filepath.Join(folder, "day.json"), filepath.Join(folder, "day.html")
+	status, out, errs := call(t.Context(), "simulate", "zone", "--sidecars", "6", "--servers", "6", "--length", "5s", "--json", kept, "--html", page)
+	if status != cli.Done || !strings.Contains(out, "rules kept") {
+		t.Fatalf("status %d, %s%s", status, out, errs)
+	}
+	first, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if status, _, errs := call(t.Context(), "report", kept); status != cli.Done {
+		t.Fatalf("status %d, %s", status, errs)
+	}
+	second, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range []string{string(first), string(second)} {
+		if strings.Count(text, "<svg") != 5 || strings.Contains(text, "<?xml") || strings.Contains(text, "src=") || strings.Contains(text, "<script") || strings.Contains(text, "<link") {
+			t.Error("the page is not whole, or needs something else")
+		}
+	}
+	cut := func(text []byte) string { _, rest, _ := strings.Cut(string(text), "</p>"); return rest }
+	if cut(first) != cut(second) {
+		t.Error("a kept day gives another page")
+	}
+}
+
+func TestExperimentFromFileToPage(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "e.toml")
+	text := "name = \"e\"\nscenarios = [\"slow\"]\nseeds = [1, 2]\nsidecars = 4\nservers = 4\nlength = \"3s\"\n[[variants]]\nname = \"a <b>\"\n[[variants]]\nname = \"c\"\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	page := filepath.Join(folder, "e.html")
+	status, out, errs := call(t.Context(), "experiment", path, "--html", page)
+	if status != cli.Done || !strings.Contains(out, "too few pairs") {
+		t.Fatalf("status %d, %s%s", status, out, errs)
+	}
+	made, err := os.ReadFile(page)
+	if err != nil || strings.Contains(string(made), "<b>") || !strings.Contains(string(made), "a &lt;b&gt;") {
+		t.Errorf("a name is not escaped, or missing: %v", err)
+	}
+}
+
+func TestWhatCannotBeDoneIsOneLine(t *testing.T) {
+	folder := t.TempDir()
+	nothing := filepath.Join(folder, "nothing.json")
+	if err := os.WriteFile(nothing, []byte("{}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, c := range []struct {
+		ctx    context.Context
+		args   []string
+		status int
+		says   string
+	}{
+		{t.Context(), []string{"simulate"}, cli.Wrong, "--list"},
+		{t.Context(), []string{"simulate", "flood"}, cli.Failed, "flood"},
+		{t.Context(), []string{"simulate", "calm", "--servers", "-1"}, cli.Failed, "servers is -1"},
+		{t.Context(), []string{"simulate", "calm", "--seed", "-1"}, cli.Wrong, "seed"},
+		{t.Context(), []string{"simulate", "calm", "--length", "-1s"}, cli.Wrong, "--length"},
+		{t.Context(), []string{"simulate", "a", "b"}, cli.Wrong, "--help"},
+		{t.Context(), []string{"simulate", "calm", "--length", "1s", "--json", filepath.Join(folder, "no", "where.json")}, cli.Failed, "where.json"},
+		{t.Context(), []string{"experiment", filepath.Join(folder, "none.toml")}, cli.Failed, "none.toml"},
+		{t.Context(), []string{"report", nothing}, cli.Failed, "no results"},
+		{t.Context(), []string{"lap"}, cli.Wrong, "lap"},
+		{gone, []string{"simulate", "calm"}, statusCut, "cut short"},
+	} {
+		status, _, errs := call(c.ctx, c.args...)
+		if status != c.status || !strings.Contains(errs, c.says) || strings.Count(errs, "\n") != 1 {
+			t.Errorf("%v: status %d, says %q; want %d and one line with %q", c.args, status, errs, c.status, c.says)
+		}
+	}
+	if status, out, _ := call(t.Context(), "simulate", "--list"); status != cli.Done || !strings.Contains(out, "zone_lost") {
+		t.Errorf("--list: %d, %s", status, out)
+	}
+}
+
+// A result that cannot be written leaves nothing behind.
+func TestNothingHalfWrittenIsLeft(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "out.json")
+	err := write(path, func(w io.Writer) error {
+		if _, err := w.Write([]byte("half")); err != nil {
+			return err
+		}
+		return os.ErrClosed
+	})
+	left, readErr := os.ReadDir(folder)
+	if err == nil || readErr != nil || len(left) != 0 {
+		t.Errorf("error %v, left %v (%v)", err, left, readErr)
+	}
+}
--- a/cmd/barleywick/call_test.go
+++ b/cmd/barleywick/call_test.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"barleywick/internal/cli"
 )
 
 // call runs a call that ends by itself.
@@ -21,19 +23,19 @@
 		status int
 		says   string
 	}{
-		{[]string{"version"}, statusDone, ""},
-		{[]string{"--help"}, statusDone, ""},
-		{[]string{"completion", "bash"}, statusDone, ""},
-		{[]string{"swerve"}, statusWrongCall, "swerve"},
-		{[]string{"serve", "--fast"}, statusWrongCall, "--fast"},
-		{[]string{"serve", "--log-level", "loud"}, statusWrongCall, "--log-level"},
-		{[]string{"serve", "--log-format", "xml"}, statusWrongCall, "xml"},
-		{[]string{"check", "a", "b"}, statusWrongCall, "one file"},
-		{[]string{"check", "/nonexistent/config.json"}, statusFailed, "/nonexistent/config.json"},
-		{[]string{"check"}, statusFailed, "ROUTER_CONFIG"},
+		{[]string{"version"}, cli.Done, ""},
+		{[]string{"--help"}, cli.Done, ""},
+		{[]string{"completion", "bash"}, cli.Done, ""},
+		{[]string{"swerve"}, cli.Wrong, "swerve"},
+		{[]string{"serve", "--fast"}, cli.Wrong, "--fast"},
+		{[]string{"serve", "--log-level", "loud"}, cli.Wrong, "--log-level"},
+		{[]string{"serve", "--log-format", "xml"}, cli.Wrong, "xml"},
+		{[]string{"check", "a", "b"}, cli.Wrong, "at most 1"},
+		{[]string{"check", "/nonexistent/config.json"}, cli.Failed, "/nonexistent/config.json"},
+		{[]string{"check"}, cli.Failed, "ROUTER_CONFIG"},
 	} {
 		status, _, errs := call(nil, c.args...)
-		if status != c.status || !strings.Contains(errs, c.says) || (c.status != statusDone && strings.Count(errs, "\n") != 1) {
+		if status != c.status || !strings.Contains(errs, c.says) || (c.status != cli.Done && strings.Count(errs, "\n") != 1) {
 			t.Errorf("%v: status %d, says %q; want %d and one line that names %q", c.args, status, errs, c.status, c.says)
 		}
 	}
@@ -48,7 +50,7 @@
 		t.Fatal(err)
 	}
 	status, out, errs := call(map[string]string{"ROUTER_DISCOVERY": "127.0.0.1:9"}, "check", path)
-	if status != statusDone || errs != "" {
+	if status != cli.Done || errs != "" {
 		t.Fatalf("status %d, %s", status, errs)
 	}
 	for _, want := range []string{"127.0.0.1:9", "must never run twice", "124; 124 of one address", "compartment acme"} {
--- a/cmd/barleywick/main.go
+++ b/cmd/barleywick/main.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"os"
@@ -16,34 +14,15 @@
 
 	"github.com/spf13/cobra"
 
+	"barleywick/internal/cli"
 	"barleywick/internal/sidecar"
 )
 
-// Exit statuses, for scripts.
-const (
-	statusDone = iota
-	statusFailed
-	statusWrongCall
-)
-
-// errCall marks an error of the command line, as against one of the work.
-var errCall = errors.New("wrong call")
-
 func main() { os.Exit(run(os.Args[1:], os.Getenv, os.Stdout, os.Stderr)) }
 
 // run carries one call out and returns its exit status.
 func run(args []string, getenv func(string) string, out, errs io.Writer) int {
-	root := newRoot(getenv, out, errs)
-	root.SetArgs(args)
-	err := root.Execute()
-	if err == nil {
-		return statusDone
-	}
-	fmt.Fprintln(errs, "barleywick:", err)
-	if errors.Is(err, errCall) {
-		return statusWrongCall
-	}
-	return statusFailed
+	return cli.Run(context.Background(), "barleywick", newRoot(getenv, out, errs), args, out, errs)
 }
 
 // newRoot makes the command tree. Without a command it serves, as the platform starts it.
@@ -58,52 +37,32 @@
 Without a command it does what serve does. ROUTER_CONFIG names the configuration
 file; ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY go before what it says.
 
-Exit status: 0 done, 1 failed, 2 wrong call.`,
+` + cli.Statuses,
 		Example: `  ROUTER_CONFIG=sidecar.json barleywick
   barleywick check sidecar.json
   barleywick completion bash > /etc/bash_completion.d/barleywick`,
-		Args: noArgs, RunE: serve, SilenceErrors: true, SilenceUsage: true,
+		Args: cli.NoArgs, RunE: serve,
 	}
-	root.SetOut(out)
-	root.SetErr(errs)
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errCall, err) })
 	logs.add(root)
 	root.AddCommand(
 		&cobra.Command{
-			Use: "serve", Short: "Serve until SIGTERM", Args: noArgs, RunE: serve,
+			Use: "serve", Short: "Serve until SIGTERM", Args: cli.NoArgs, RunE: serve,
 			Long: `serve carries requests until SIGTERM, then finishes what it has taken and ends.
 SIGHUP reads the configuration again: discovery, the limits on connections.`,
 			Example: "  ROUTER_CONFIG=sidecar.json ROUTER_LISTEN=127.0.0.1:7070 barleywick serve --log-format json",
 		},
 		&cobra.Command{
-			Use: "check [FILE]", Short: "Read a configuration and explain what follows from it", Args: atMostOne,
+			Use: "check [FILE]", Short: "Read a configuration and explain what follows from it", Args: cobra.MaximumNArgs(1),
 			Long: `check reads a configuration as serve does, starts nothing, and prints each figure
 that follows from it. FILE is the one that ROUTER_CONFIG names where it is left out.`,
 			Example: "  barleywick check sidecar.json",
 			RunE:    func(_ *cobra.Command, args []string) error { return check(getenv, args, out) },
 		},
-		&cobra.Command{
-			Use: "version", Short: "Print what was built, from which source, with which Go", Args: noArgs,
-			RunE: func(*cobra.Command, []string) error { return version(out) },
-		},
+		cli.VersionCommand("barleywick"),
 	)
 	return root
 }
 
-func noArgs(c *cobra.Command, args []string) error {
-	if len(args) > 0 {
-		return fmt.Errorf("%w: no command %q; see %s --help", errCall, args[0], c.CommandPath())
-	}
-	return nil
-}
-
-func atMostOne(c *cobra.Command, args []string) error {
-	if len(args) > 1 {
-		return fmt.Errorf("%w: one file at a time; see %s --help", errCall, c.CommandPath())
-	}
-	return nil
-}
-
 // logFlags say how the program's own log is written.
 type logFlags struct{ level, format string }
 
@@ -116,7 +75,7 @@
 func (f logFlags) logger(w io.Writer) (*slog.Logger, error) {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(f.level)); err != nil {
-		return nil, fmt.Errorf("%w: --log-level: %w", errCall, err)
+		return nil, cli.WrongCall("--log-level: %w", err)
 	}
 	o := &slog.HandlerOptions{Level: level}
 	switch f.format {
@@ -125,7 +84,7 @@
 	case "json":
 		return slog.New(slog.NewJSONHandler(w, o)), nil
 	}
-	return nil, fmt.Errorf("%w: --log-format is %q; there are text and json", errCall, f.format)
+	return nil, cli.WrongCall("--log-format is %q; there are text and json", f.format)
 }
 
 func serve(getenv func(string) string, logs logFlags, errs io.Writer) error {
@@ -176,21 +135,3 @@
 	}
 	return c.Explain(out)
 }
-
-func version(out io.Writer) error {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return errors.New("the binary holds no build information")
-	}
-	revision, modified := "unknown", ""
-	for _, s := range info.Settings {
-		switch {
-		case s.Key == "vcs.revision":
-			revision = s.Value
-		case s.Key == "vcs.modified" && s.Value == "true":
-			modified = ", with changes"
-		}
-	}
-	_, err := fmt.Fprintf(out, "barleywick %s, source %s%s, %s\n", info.Main.Version, revision, modified, info.GoVersion)
-	return err
-}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,109 @@
+// Package cli is what our programs' command lines share: exit statuses, one-line
+// errors, the version.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit statuses of all our programs. A program may have more of its own.
+const (
+	Done = iota
+	Failed
+	Wrong // the call was
+)
+
+// Statuses is their part of a program's help.
+const Statuses = `Exit status:
+ 0  done
+ 1  failed, with one line that says why
+ 2  wrong call`
+
+// statusError is an error with the exit status that it leads to.
+type statusError struct {
+	status int
+	err    error
+}
+
+func (e *statusError) Error() string { return e.err.Error() }
+func (e *statusError) Unwrap() error { return e.err }
+
+// Status makes an error that ends the program with a status.
+func Status(status int, format string, args ...any) error {
+	return &statusError{status, fmt.Errorf(format, args...)}
+}
+
+// WrongCall makes an error of the command line, as against one of the work.
+func WrongCall(format string, args ...any) error { return Status(Wrong, format, args...) }
+
+// Run carries one call out and returns its exit status. Errors are one line.
+func Run(ctx context.Context, name string, root *cobra.Command, args []string, out, errs io.Writer) int {
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errs)
+	root.SilenceErrors, root.SilenceUsage = true, true
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return WrongCall("%w", err) })
+	for _, c := range append(root.Commands(), root) {
+		checkArgs(c)
+	}
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return Done
+	}
+	fmt.Fprintf(errs, "%s: %v\n", name, err)
+	var s *statusError
+	if errors.As(err, &s) {
+		return s.status
+	}
+	return Failed
+}
+
+// checkArgs makes an error about arguments a wrong call.
+func checkArgs(c *cobra.Command) {
+	if check := c.Args; check != nil {
+		c.Args = func(c *cobra.Command, args []string) error {
+			if err := check(c, args); err != nil {
+				return WrongCall("%w; see %s --help", err, c.CommandPath())
+			}
+			return nil
+		}
+	}
+}
+
+// NoArgs lets a command take no arguments.
+func NoArgs(_ *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return fmt.Errorf("no command %q", args[0])
+	}
+	return nil
+}
+
+// VersionCommand prints what was built, from which source, with which Go.
+func VersionCommand(name string) *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print what was built, from which source, with which Go", Args: NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			info, ok := debug.ReadBuildInfo()
+			if !ok {
+				return errors.New("the binary holds no build information")
+			}
+			revision, modified := "unknown", ""
+			for _, s := range info.Settings {
+				switch {
+				case s.Key == "vcs.revision":
+					revision = s.Value
+				case s.Key == "vcs.modified" && s.Value == "true":
+					modified = ", with changes"
+				}
+			}
+			_, err := fmt.Fprintf(c.OutOrStdout(), "%s %s, source %s%s, %s\n", name, info.Main.Version, revision, modified, info.GoVersion)
+			return err
+		},
+	}
+}
--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -73,8 +73,8 @@
 	Got   float64 `json:"got"`
 }
 
-// share is the part that was served; 1 where nothing was asked.
-func (p Part) share() float64 {
+// Share is the part that was served; 1 where nothing was asked.
+func (p Part) Share() float64 {
 	if p.Asked == 0 {
 		return 1
 	}
@@ -228,10 +228,10 @@
 	for _, p := range r.Classes {
 		whole.Asked += p.Asked
 		whole.Got += p.Got
-		class = min(class, p.share())
+		class = min(class, p.Share())
 	}
 	for _, p := range r.Tenants {
-		tenant = min(tenant, p.share())
+		tenant = min(tenant, p.Share())
 	}
 	for i := range r.Windows {
 		if h := r.perWindow[i]; h != nil {
@@ -245,9 +245,9 @@
 			sum.Asked += w.Part.Asked
 			sum.Got += w.Got
 		}
-		worst = min(worst, sum.share())
+		worst = min(worst, sum.Share())
 	}
-	r.Goodput = whole.share()
+	r.Goodput = whole.Share()
 	if n := float64(r.Asked); n > 0 {
 		p := s.sc.Prices
 		r.Prices = (p.CrossZone*float64(r.crossed) + p.Probe*float64(r.probes) + p.Handshake*float64(r.handshakes)) / n
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -9,17 +9,15 @@
 package emulator
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"math"
+	"os"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
+	"barleywick/internal/strict"
 	"barleywick/policy"
 )
 
@@ -212,8 +210,8 @@
 		return nil, fmt.Errorf("scenario: more than %d bytes", maxFile)
 	}
 	s := Base()
-	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(s); err != nil {
-		return nil, plainError(err)
+	if err := strict.TOML(text, s); err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
 	}
 	return s, s.Check()
 }
@@ -221,19 +219,18 @@
 // maxFile is far more than any scenario has.
 const maxFile = 1 << 20
 
-// plainError puts a decoder's error into one line with line and field.
-func plainError(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		row, _ := strict.Errors[0].Position()
-		return fmt.Errorf("scenario: line %d: there is no field %s", row, strings.Join(strict.Errors[0].Key(), "."))
+// LoadScenario reads a scenario file.
+func LoadScenario(path string) (*Scenario, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
 	}
-	var wrong *toml.DecodeError
-	if errors.As(err, &wrong) {
-		row, _ := wrong.Position()
-		return fmt.Errorf("scenario: line %d: %s: %s", row, strings.Join(wrong.Key(), "."), strings.TrimPrefix(wrong.Error(), "toml: "))
+	defer f.Close()
+	s, err := Read(f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return fmt.Errorf("scenario: %w", err)
+	return s, nil
 }
 
 const (
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,326 @@
+// Package experiment plays scenarios with several variants on the same seeds and
+// says what the variants differ by, with how sure that is.
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"golang.org/x/sync/errgroup"
+	"gonum.org/v1/gonum/stat"
+
+	"barleywick/internal/emulator"
+	"barleywick/internal/strict"
+)
+
+// Plan is what an experiment file says.
+type Plan struct {
+	Name      string        `toml:"name"`
+	Scenarios []string      `toml:"scenarios"` // names, or files ending in .toml
+	Seeds     []uint64      `toml:"seeds"`
+	Sidecars  int           `toml:"sidecars"` // of the scenarios that have a name
+	Servers   int           `toml:"servers"`
+	Length    emulator.Span `toml:"length"` // stretches them; 0: as they are
+	Variants  []Variant     `toml:"variants"`
+
+	scenarios []*emulator.Scenario
+}
+
+// Variant is one of the things compared; the first is what the others are held against.
+type Variant struct {
+	Name string         `toml:"name"`
+	Set  map[string]any `toml:"set"` // what it changes in each scenario, as a scenario file would
+}
+
+const (
+	maxSeeds    = 1000
+	maxVariants = 16
+	maxFile     = 1 << 20
+)
+
+// Load reads an experiment file. Scenario files are found beside it.
+func Load(path string) (*Plan, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("experiment: %w", err)
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, maxFile))
+	if err != nil {
+		return nil, fmt.Errorf("experiment %s: %w", path, err)
+	}
+	p, err := Parse(text, filepath.Dir(path))
+	if err != nil {
+		return nil, fmt.Errorf("experiment %s: %w", path, err)
+	}
+	return p, nil
+}
+
+// Parse reads an experiment; scenario files are found in folder.
+func Parse(text []byte, folder string) (*Plan, error) {
+	p := &Plan{Sidecars: emulator.Base().Sidecars, Servers: emulator.Base().Servers}
+	if err := strict.TOML(text, p); err != nil {
+		return nil, err
+	}
+	switch {
+	case len(p.Scenarios) == 0:
+		return nil, errors.New("scenarios: at least one is needed")
+	case len(p.Seeds) == 0 || len(p.Seeds) > maxSeeds:
+		return nil, fmt.Errorf("seeds: %d are given, 1 to %d are needed", len(p.Seeds), maxSeeds)
+	case len(p.Variants) < 2 || len(p.Variants) > maxVariants:
+		return nil, fmt.Errorf("variants: %d are given, 2 to %d are needed", len(p.Variants), maxVariants)
+	case p.Length < 0:
+		return nil, errors.New("length must not be negative")
+	}
+	for i, seed := range p.Seeds {
+		if slices.Contains(p.Seeds[:i], seed) {
+			return nil, fmt.Errorf("seeds: %d is given twice, which would count one day twice", seed)
+		}
+	}
+	for i, v := range p.Variants {
+		if v.Name == "" || slices.ContainsFunc(p.Variants[:i], func(o Variant) bool { return o.Name == v.Name }) {
+			return nil, fmt.Errorf("variants[%d]: a name of its own is needed", i)
+		}
+	}
+	for _, name := range p.Scenarios {
+		sc, err := p.scenario(name, folder)
+		if err != nil {
+			return nil, fmt.Errorf("scenarios: %s: %w", name, err)
+		}
+		p.scenarios = append(p.scenarios, sc)
+		for _, v := range p.Variants {
+			if _, err := v.apply(sc); err != nil {
+				return nil, fmt.Errorf("variants: %s: %w", v.Name, err)
+			}
+		}
+	}
+	return p, nil
+}
+
+func (p *Plan) scenario(name, folder string) (*emulator.Scenario, error) {
+	var sc *emulator.Scenario
+	var err error
+	if filepath.Ext(name) == ".toml" {
+		if !filepath.IsAbs(name) {
+			name = filepath.Join(folder, name)
+		}
+		sc, err = emulator.LoadScenario(name)
+	} else {
+		sc, err = emulator.Preset(name, p.Sidecars, p.Servers)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if p.Length > 0 {
+		sc.Stretch(time.Duration(p.Length))
+	}
+	return sc, sc.Check()
+}
+
+// apply returns a scenario as the variant changes it.
+func (v Variant) apply(sc *emulator.Scenario) (*emulator.Scenario, error) {
+	whole, err := toml.Marshal(sc)
+	if err != nil {
+		return nil, err
+	}
+	changes, err := toml.Marshal(v.Set)
+	if err != nil {
+		return nil, err
+	}
+	changed, err := emulator.Read(bytes.NewReader(whole))
+	if err != nil {
+		return nil, err
+	}
+	if err := strict.TOML(changes, changed); err != nil {
+		return nil, fmt.Errorf("set: %w", err)
+	}
+	return changed, changed.Check()
+}
+
+// Run is one day with one variant.
+type Run struct {
+	Variant string           `json:"variant"`
+	Record  *emulator.Record `json:"record"`
+}
+
+// Outcome is what came of an experiment.
+type Outcome struct {
+	Name        string       `json:"name"`
+	Partial     bool         `json:"partial,omitempty"` // it was cut short: what was played counts
+	Runs        []Run        `json:"runs"`
+	Differences []Difference `json:"differences"`
+}
+
+// Difference is what a variant differs by from the first, on paired days.
+type Difference struct {
+	Scenario string  `json:"scenario"` // "all" for all of them together
+	Variant  string  `json:"variant"`
+	Measure  string  `json:"measure"`
+	Pairs    int     `json:"pairs"`
+	Mean     float64 `json:"mean"` // variant less first
+	Low      float64 `json:"low"`  // of the 95 % bootstrap interval of the mean
+	High     float64 `json:"high"`
+	Shown    bool    `json:"shown"` // the interval does not hold 0
+}
+
+// Verdict says plainly what the interval means.
+func (d Difference) Verdict() string {
+	switch {
+	case d.Pairs < leastPairs:
+		return fmt.Sprintf("too few pairs to say anything, %d are needed", leastPairs)
+	case d.Shown && d.Mean > 0:
+		return "higher"
+	case d.Shown:
+		return "lower"
+	}
+	return "no difference is shown"
+}
+
+// String is the difference in one line.
+func (d Difference) String() string {
+	return fmt.Sprintf("%-10s %-20s %-8s %+.4f  [%+.4f, %+.4f]  %d pairs: %s", d.Scenario, d.Variant, d.Measure, d.Mean, d.Low, d.High, d.Pairs, d.Verdict())
+}
+
+// measures are what variants are compared by.
+var measures = []struct {
+	name string
+	of   func(*emulator.Record) float64
+}{
+	{"goodput", func(r *emulator.Record) float64 { return r.Goodput }},
+	{"result", func(r *emulator.Record) float64 { return r.Result }},
+}
+
+// Play plays all days with all variants, several at a time, and tells done of each.
+// If ctx ends, the days that were played to their end count.
+func (p *Plan) Play(ctx context.Context, done func(played, all int, r Run)) (*Outcome, error) {
+	type slot struct {
+		run Run
+		ok  bool
+	}
+	all := len(p.scenarios) * len(p.Seeds) * len(p.Variants)
+	slots := make([]slot, all)
+	var mu sync.Mutex
+	played := 0
+	work, inner := errgroup.WithContext(ctx)
+	work.SetLimit(runtime.GOMAXPROCS(0))
+	for i := range all {
+		v := p.Variants[i%len(p.Variants)]
+		seed := p.Seeds[i/len(p.Variants)%len(p.Seeds)]
+		sc := p.scenarios[i/len(p.Variants)/len(p.Seeds)]
+		work.Go(func() error {
+			if inner.Err() != nil {
+				return nil // cut short
+			}
+			changed, err := v.apply(sc)
+			if err != nil {
+				return err
+			}
+			s, err := emulator.NewSim(changed, seed, emulator.Balancer)
+			if err != nil {
+				return err
+			}
+			r, err := s.Run(inner)
+			if inner.Err() != nil {
+				return nil
+			}
+			if err != nil {
+				return fmt.Errorf("%s, %s, seed %d: %w", sc.Name, v.Name, seed, err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			slots[i] = slot{Run{v.Name, r}, true}
+			played++
+			if done != nil {
+				done(played, all, slots[i].run)
+			}
+			return nil
+		})
+	}
+	if err := work.Wait(); err != nil {
+		return nil, err
+	}
+	o := &Outcome{Name: p.Name, Partial: played < all}
+	for _, s := range slots {
+		if s.ok {
+			o.Runs = append(o.Runs, s.run)
+		}
+	}
+	o.Differences = p.compare(o.Runs)
+	return o, nil
+}
+
+// compare pairs the variants' days with the first's by scenario and seed.
+func (p *Plan) compare(runs []Run) (differences []Difference) {
+	type day struct {
+		variant, scenario string
+		seed              uint64
+	}
+	records := make(map[day]*emulator.Record, len(runs))
+	for _, r := range runs {
+		records[day{r.Variant, r.Record.Scenario, r.Record.Seed}] = r.Record
+	}
+	for _, v := range p.Variants[1:] {
+		for _, m := range measures {
+			var all []float64
+			for _, sc := range p.scenarios {
+				var here []float64
+				for _, seed := range p.Seeds {
+					a, b := records[day{p.Variants[0].Name, sc.Name, seed}], records[day{v.Name, sc.Name, seed}]
+					if a != nil && b != nil {
+						here = append(here, m.of(b)-m.of(a))
+					}
+				}
+				all = append(all, here...)
+				differences = append(differences, difference(sc.Name, v.Name, m.name, here))
+			}
+			if len(p.scenarios) > 1 {
+				differences = append(differences, difference("all", v.Name, m.name, all))
+			}
+		}
+	}
+	return differences
+}
+
+const (
+	resamples  = 10_000
+	confidence = 0.95
+	// leastPairs is how few pairs a bootstrap can say anything about: with less than
+	// five, all of one sign happen by chance more often than one time in twenty.
+	leastPairs = 5
+)
+
+// difference is the mean of paired differences with its bootstrap interval (percentiles).
+// The resampling is seeded: the same runs give the same interval.
+func difference(scenario, variant, measure string, d []float64) Difference {
+	out := Difference{Scenario: scenario, Variant: variant, Measure: measure, Pairs: len(d)}
+	if len(d) == 0 {
+		return out
+	}
+	out.Mean = stat.Mean(d, nil)
+	rng := rand.New(rand.NewPCG(1, uint64(len(d))))
+	means := make([]float64, resamples)
+	sample := make([]float64, len(d))
+	for i := range means {
+		for j := range sample {
+			sample[j] = d[rng.IntN(len(d))]
+		}
+		means[i] = stat.Mean(sample, nil)
+	}
+	slices.Sort(means)
+	out.Low = stat.Quantile((1-confidence)/2, stat.Empirical, means, nil)
+	out.High = stat.Quantile((1+confidence)/2, stat.Empirical, means, nil)
+	out.Shown = len(d) >= leastPairs && (out.Low > 0 || out.High < 0) && !math.IsNaN(out.Mean)
+	return out
+}
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,149 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"barleywick/internal/emulator"
+)
+
+const small = `name = "walls"
+scenarios = ["overload"]
+seeds = [1, 2, 3, 4, 5, 6]
+sidecars = 6
+servers = 4
+length = "6s"
+[[variants]]
+name = "as it is"
+[[variants]]
+name = "the same"
+[[variants]]
+name = "heavier"
+[variants.set]
+load = 6
+`
+
+func TestVariantsArePairedAndDifferencesTold(t *testing.T) {
+	p, err := Parse([]byte(small), ".")
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := 0
+	o, err := p.Play(context.Background(), func(played, all int, _ Run) {
+		told++
+		if played != told || all != 18 {
+			t.Errorf("%d of %d at call %d", played, all, told)
+		}
+	})
+	if err != nil || len(o.Runs) != 18 || o.Partial {
+		t.Fatalf("%d runs, %v", len(o.Runs), err)
+	}
+	for _, d := range o.Differences {
+		switch {
+		case d.Pairs != 6:
+			t.Errorf("%v: pairs are missing", d)
+		case d.Variant == "the same" && (d.Mean != 0 || d.Shown || !strings.Contains(d.String(), "no difference is shown")):
+			t.Errorf("%v: the same variant differs", d)
+		case d.Variant == "heavier" && d.Measure == "goodput" && (!d.Shown || d.Mean >= 0):
+			t.Errorf("%v: more load is served as well", d)
+		case d.Low > d.Mean || d.High < d.Mean:
+			t.Errorf("%v: the mean is outside its interval", d)
+		}
+	}
+	again, err := p.Play(context.Background(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, _ := json.Marshal(o)
+	b, _ := json.Marshal(again)
+	if string(a) != string(b) {
+		t.Error("the same experiment had another outcome")
+	}
+}
+
+func TestExperimentCutShortKeepsWhatWasPlayed(t *testing.T) {
+	p, err := Parse([]byte(small), ".")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	o, err := p.Play(ctx, func(played, _ int, _ Run) {
+		if played == 2 {
+			cancel()
+		}
+	})
+	if err != nil || !o.Partial || len(o.Runs) < 2 || len(o.Runs) == 18 {
+		t.Fatalf("%d runs, partial %v, %v", len(o.Runs), o.Partial, err)
+	}
+	for _, r := range o.Runs {
+		if r.Record.Partial {
+			t.Error("a day that was cut short counts as a whole one")
+		}
+	}
+}
+
+func TestExperimentFileIsReadStrictly(t *testing.T) {
+	for from, c := range map[string][2]string{
+		`seeds = [1, 2, 3, 4, 5, 6]`: {`seeds = [1, 1]`, "seeds: 1 is given twice"},
+		`"overload"`:                 {`"underload"`, `there is no scenario "underload"`},
+		`load = 6`:                   {`laod = 6`, "there is no field laod"},
+		"load = 6\n":                 {"load = -7\n", "load is -7"},
+		`"the same"`:                 {`"as it is"`, "variants[1]: a name of its own"},
+		`length = "6s"`:              {`length = 6`, "length"},
+		`sidecars = 6`:               {`sidecars = 0`, "sidecars is 0"},
+		`name = "walls"`:             {`title = "walls"`, "line 1: there is no field title"},
+		`["overload"]`:               {`["nowhere.toml"]`, "nowhere.toml"},
+	} {
+		_, err := Parse([]byte(strings.Replace(small, from, c[0], 1)), ".")
+		if err == nil || !strings.Contains(err.Error(), c[1]) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v; want one line with %q", c[0], err, c[1])
+		}
+	}
+}
+
+// The interval holds the truth about as often as it says, and says so plainly when
+// there is too little to go by.
+func TestIntervalHoldsTheTruth(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	held, shown := 0, 0
+	const tries, truth = 200, 0.1
+	for range tries {
+		d := make([]float64, 20)
+		for i := range d {
+			d[i] = truth + 0.2*rng.NormFloat64()
+		}
+		got := difference("s", "v", "m", d)
+		if got.Low <= truth && truth <= got.High {
+			held++
+		}
+		if got.Shown {
+			shown++
+		}
+	}
+	if held < tries*85/100 || held == tries {
+		t.Errorf("the 95 %% interval held the truth %d times in %d", held, tries)
+	}
+	if shown == 0 || shown == tries {
+		t.Errorf("shown %d times in %d", shown, tries)
+	}
+	if d := difference("s", "v", "m", []float64{1, 1, 1}); d.Shown || !strings.Contains(d.Verdict(), "too few") {
+		t.Errorf("three pairs: %v", d)
+	}
+	if d := difference("s", "v", "m", nil); d.Shown || d.Pairs != 0 {
+		t.Errorf("no pairs: %v", d)
+	}
+}
+
+func TestSettingsOfAVariantChangeNothingElse(t *testing.T) {
+	sc, err := emulator.Preset("calm", 5, 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed, err := Variant{Set: map[string]any{"list": map[string]any{"per_ms": 2.5}}}.apply(sc)
+	if err != nil || changed.List.PerMS != 2.5 || changed.List.PerCall != sc.List.PerCall || sc.List.PerMS == 2.5 || len(changed.Classes) != len(sc.Classes) {
+		t.Errorf("%+v, %v", changed, err)
+	}
+}
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,218 @@
+// Package report writes what came of emulated or real days as one HTML page that
+// needs nothing else: no network, no script, no file beside it.
+package report
+
+import (
+	"bytes"
+	"embed"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"math"
+	"regexp"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"barleywick/internal/emulator"
+	"barleywick/internal/experiment"
+)
+
+//go:embed page.html
+var files embed.FS
+
+var page = template.Must(template.New("page.html").Funcs(template.FuncMap{
+	"percent": func(f float64) string { return fmt.Sprintf("%.1f %%", 100*f) },
+	"signed":  func(f float64) string { return fmt.Sprintf("%+.4f", f) },
+	"fixed":   func(f float64) string { return fmt.Sprintf("%.3f", f) },
+	"inc":     func(i int) int { return i + 1 },
+}).ParseFS(files, "page.html"))
+
+// Page is what a page shows.
+type Page struct {
+	Title       string
+	Made        time.Time
+	Partial     bool
+	Days        []Day
+	Differences []experiment.Difference
+}
+
+// Day is one day with its charts.
+type Day struct {
+	Name   string
+	Record *emulator.Record
+	Charts []Chart
+}
+
+// Chart is one timeline.
+type Chart struct {
+	Title string
+	SVG   template.HTML
+}
+
+// maxDays bounds the days that get charts of their own; the rest are in the tables.
+const maxDays = 40
+
+// OfRecord is the page of one day.
+func OfRecord(r *emulator.Record, made time.Time) (*Page, error) {
+	d, err := day(r.Scenario, r)
+	if err != nil {
+		return nil, err
+	}
+	return &Page{Title: r.Scenario, Made: made, Partial: r.Partial, Days: []Day{d}}, nil
+}
+
+// OfOutcome is the page of an experiment.
+func OfOutcome(o *experiment.Outcome, made time.Time) (*Page, error) {
+	p := &Page{Title: o.Name, Made: made, Partial: o.Partial, Differences: o.Differences}
+	for i, run := range o.Runs {
+		d := Day{Name: run.Variant, Record: run.Record}
+		if i < maxDays {
+			var err error
+			if d, err = day(run.Variant, run.Record); err != nil {
+				return nil, err
+			}
+		}
+		p.Days = append(p.Days, d)
+	}
+	return p, nil
+}
+
+// Write writes the page.
+func (p *Page) Write(w io.Writer) error {
+	if err := page.Execute(w, p); err != nil {
+		return fmt.Errorf("write page: %w", err)
+	}
+	return nil
+}
+
+// line is one curve of a chart.
+type line struct {
+	name string
+	of   func(w *emulator.Window) float64
+}
+
+func day(name string, r *emulator.Record) (Day, error) {
+	d := Day{Name: name, Record: r}
+	second := r.Length.Seconds() / float64(max(1, len(r.Windows)))
+	charts := []struct {
+		title, unit string
+		lines       []line
+	}{
+		{"Worth asked for and served", "worth a second", []line{
+			{"asked", func(w *emulator.Window) float64 { return w.Part.Asked }},
+			{"served", func(w *emulator.Window) float64 { return w.Got }},
+		}},
+		{"Refused, failed, late", "requests a second", []line{
+			{"refused", func(w *emulator.Window) float64 { return float64(w.Refused) }},
+			{"failed", func(w *emulator.Window) float64 { return float64(w.Failed) }},
+			{"late", func(w *emulator.Window) float64 { return float64(w.Late) }},
+		}},
+		{"Latency of what was served", "ms", []line{
+			{"half", func(w *emulator.Window) float64 { return w.P50MS }},
+			{"99 of 100", func(w *emulator.Window) float64 { return w.P99MS }},
+		}},
+	}
+	var queue, capacity []line
+	for z, zone := range r.Zones {
+		queue = append(queue, line{zone, func(w *emulator.Window) float64 {
+			if z < len(w.Queue) {
+				return float64(w.Queue[z])
+			}
+			return math.NaN()
+		}})
+		capacity = append(capacity, line{zone, func(w *emulator.Window) float64 {
+			if z < len(w.Capacity) {
+				return w.Capacity[z]
+			}
+			return math.NaN()
+		}})
+	}
+	charts = append(charts, []struct {
+		title, unit string
+		lines       []line
+	}{{"Requests that wait at servers, by zone", "requests", queue}, {"Capacity by zone", "work a second", capacity}}...)
+	for _, c := range charts {
+		svg, err := chart(r, second, c.unit, c.lines)
+		if err != nil {
+			return d, fmt.Errorf("chart %s: %w", c.title, err)
+		}
+		d.Charts = append(d.Charts, Chart{c.title, svg})
+	}
+	return d, nil
+}
+
+// The colours of curves: told apart also by those who see red and green alike.
+var colours = []color.Color{
+	color.NRGBA{0x00, 0x72, 0xb2, 255}, color.NRGBA{0xd5, 0x5e, 0x00, 255}, color.NRGBA{0x00, 0x9e, 0x73, 255},
+	color.NRGBA{0xcc, 0x79, 0xa7, 255}, color.NRGBA{0x56, 0xb4, 0xe9, 255}, color.NRGBA{0x50, 0x50, 0x50, 255},
+}
+
+var shade = color.NRGBA{0xe6, 0x9f, 0x00, 48}
+
+const (
+	chartWidth  = 18 * vg.Centimeter
+	chartHeight = 6 * vg.Centimeter
+)
+
+// prolog is what an SVG file begins with and one inside a page must not have.
+var prolog = regexp.MustCompile(`(?s)^.*?<svg`)
+
+// chart draws curves over the day, with the time of each trouble shaded.
+func chart(r *emulator.Record, second float64, unit string, lines []line) (template.HTML, error) {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = "seconds", unit
+	p.X.Min, p.X.Max, p.Y.Min = 0, r.Length.Seconds(), 0
+	p.Legend.Top, p.Legend.Left = true, true
+	most := 1.0
+	var curves []*plotter.Line
+	for i, l := range lines {
+		var points plotter.XYs
+		for j := range r.Windows {
+			if y := l.of(&r.Windows[j]); !math.IsNaN(y) && !math.IsInf(y, 0) {
+				points = append(points, plotter.XY{X: float64(j) * second, Y: y})
+				most = max(most, y)
+			}
+		}
+		if len(points) == 0 {
+			continue
+		}
+		curve, err := plotter.NewLine(points)
+		if err != nil {
+			return "", err
+		}
+		curve.Color, curve.Width = colours[i%len(colours)], vg.Points(1.5)
+		curves = append(curves, curve)
+		p.Legend.Add(l.name, curve)
+	}
+	p.Y.Max = most * 1.3 // room for the legend
+	for _, t := range r.Troubles {
+		from, to := time.Duration(t.At).Seconds(), (time.Duration(t.At) + time.Duration(t.For)).Seconds()
+		to = min(max(to, from+r.Length.Seconds()/200), r.Length.Seconds()) // at least a stroke
+		if from >= to {
+			continue
+		}
+		box, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: to, Y: 0}, {X: to, Y: p.Y.Max}, {X: from, Y: p.Y.Max}})
+		if err != nil {
+			return "", err
+		}
+		box.Color, box.LineStyle.Width = shade, 0
+		p.Add(box)
+	}
+	for _, c := range curves {
+		p.Add(c)
+	}
+	p.Add(plotter.NewGrid())
+	canvas := vgsvg.New(chartWidth, chartHeight)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return "", err
+	}
+	return template.HTML(prolog.ReplaceAll(out.Bytes(), []byte("<svg"))), nil // drawn here, from numbers and escaped names
+}
