--- /dev/null
+++ b/cmd/barleylab/load.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/term"
+
+	"barleywick/internal/cli"
+	"barleywick/internal/load"
+)
+
+// terminal says whether a writer is one, where a line may be written over.
+func terminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	return ok && term.IsTerminal(int(f.Fd()))
+}
+
+// defaultOpen is far more than a sidecar holds.
+const defaultOpen = 10_000
+
+func loadCommand() *cobra.Command {
+	p := &load.Plan{}
+	var out output
+	var classes []string
+	var recorded string
+	c := &cobra.Command{
+		Use: "load ADDRESS...", Short: "Put an open-loop load on sidecars", Args: cobra.MinimumNArgs(1),
+		Long: `load sends requests to sidecars when they are due, whatever has become of those before.
+Latencies count from when a request was due: a target that stands still makes all that is
+due meanwhile wait, and each wait counts. What is due while too many are open is not sent
+and is counted as unsent.`,
+		Example: `  barleylab load 127.0.0.1:7070 --rate 200 --length 30s --class hold-slot:keyed:3 --class confirm-visit:unsafe:2 --tenants a,b
+  barleylab load 127.0.0.1:7070 --class read:safe --arrivals recorded --recorded times.txt --json out.json`,
+	}
+	f := c.Flags()
+	f.Float64Var(&p.Rate, "rate", 100, "requests a `SECOND`, over all addresses")
+	f.StringVar(&p.Arrivals, "arrivals", "poisson", "poisson, constant or recorded")
+	f.StringVar(&recorded, "recorded", "", "`FILE` of times in seconds, one on each line")
+	f.DurationVar(&p.Length, "length", 10*time.Second, "of the load")
+	f.DurationVar(&p.Timeout, "timeout", 2*time.Second, "how long a client waits")
+	f.StringArrayVar(&classes, "class", nil, "`NAME:EFFECT[:SHARE]`, with safe, keyed or unsafe; at least one")
+	f.StringSliceVar(&p.Tenants, "tenants", nil, "names, evenly asked for")
+	f.IntVar(&p.Keys, "keys", 0, "how many different affinity keys; 0: none")
+	f.IntVar(&p.Body, "body", 0, "`BYTES` of each body")
+	f.IntVar(&p.MostOpen, "open", defaultOpen, "requests open at once")
+	f.Uint64Var(&p.Seed, "seed", 1, "of times, classes and keys")
+	f.StringVar(&out.json, "json", "", "write all figures to `FILE`")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		p.Targets = args
+		for _, text := range classes {
+			class, err := parseClass(text)
+			if err != nil {
+				return err
+			}
+			p.Classes = append(p.Classes, class)
+		}
+		if recorded != "" {
+			file, err := os.Open(recorded)
+			if err != nil {
+				return err
+			}
+			p.Recorded, err = load.ReadArrivals(file)
+			file.Close()
+			if err != nil {
+				return fmt.Errorf("%s: %w", recorded, err)
+			}
+		}
+		if err := p.Check(); err != nil {
+			return cli.WrongCall("%w", err)
+		}
+		live := c.ErrOrStderr()
+		r, err := load.Run(c.Context(), p, func(r load.Result) {
+			if terminal(live) {
+				fmt.Fprintf(live, "\r\x1b[K%.0f s: %d due, %d served, %d refused, %d lost, p99 %.0f ms", r.LengthS, r.Due, r.Outcomes["served"], r.Outcomes["refused"], r.Outcomes["lost"], r.Served.P99)
+			}
+		})
+		if terminal(live) {
+			fmt.Fprintln(live)
+		}
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(c.OutOrStdout(), r.Line())
+		for _, e := range r.Errors {
+			fmt.Fprintln(c.OutOrStdout(), " ", e)
+		}
+		if err := out.writeAll(r, nil); err != nil {
+			return err
+		}
+		if r.Partial {
+			return cli.Status(statusCut, "cut short")
+		}
+		return nil
+	}
+	return c
+}
+
+// parseClass reads NAME:EFFECT[:SHARE].
+func parseClass(text string) (load.Class, error) {
+	parts := strings.Split(text, ":")
+	if len(parts) < 2 || len(parts) > 3 {
+		return load.Class{}, cli.WrongCall("--class %q: NAME:EFFECT or NAME:EFFECT:SHARE is needed", text)
+	}
+	c := load.Class{Name: parts[0], Effect: load.Effect(parts[1]), Share: 1}
+	if len(parts) == 3 {
+		share, err := strconv.ParseFloat(parts[2], 64)
+		if err != nil {
+			return c, cli.WrongCall("--class %q: the share is no number", text)
+		}
+		c.Share = share
+	}
+	return c, nil
+}
--- a/cmd/barleylab/main.go
+++ b/cmd/barleylab/main.go
@@ -18,7 +18,6 @@
 
 	"github.com/google/renameio/v2"
 	"github.com/spf13/cobra"
-	"golang.org/x/term"
 
 	"barleywick/internal/cli"
 	"barleywick/internal/emulator"
@@ -46,7 +45,7 @@
   barleylab report walls.json --html walls.html`,
 		Args: cli.NoArgs, RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	root.AddCommand(simulateCommand(), experimentCommand(), reportCommand(), cli.VersionCommand("barleylab"))
+	root.AddCommand(simulateCommand(), experimentCommand(), loadCommand(), reportCommand(), cli.VersionCommand("barleylab"))
 	return root
 }
 
@@ -84,7 +83,7 @@
 }
 
 func (o output) writeAll(v any, p func() (*report.Page, error)) error {
-	err := write(o.json, func(w io.Writer) error {
+	err := write(o.json, func(w io.Writer) error { // nothing, where no file is named
 		e := json.NewEncoder(w)
 		e.SetIndent("", " ")
 		return e.Encode(v)
@@ -201,7 +200,7 @@
 			return err
 		}
 		progress := c.ErrOrStderr()
-		live := progress == os.Stderr && term.IsTerminal(int(os.Stderr.Fd()))
+		live := terminal(progress)
 		broken := 0
 		o, err := plan.Play(c.Context(), func(played, all int, r experiment.Run) {
 			if len(r.Record.Broken) > 0 {
--- a/cmd/barleylab/main_test.go
+++ b/cmd/barleylab/main_test.go
@@ -89,6 +89,10 @@
 		{t.Context(), []string{"experiment", filepath.Join(folder, "none.toml")}, cli.Failed, "none.toml"},
 		{t.Context(), []string{"report", nothing}, cli.Failed, "no results"},
 		{t.Context(), []string{"lap"}, cli.Wrong, "lap"},
+		{t.Context(), []string{"load"}, cli.Wrong, "at least 1"},
+		{t.Context(), []string{"load", "127.0.0.1:1"}, cli.Wrong, "classes"},
+		{t.Context(), []string{"load", "127.0.0.1:1", "--class", "a:odd"}, cli.Wrong, "odd"},
+		{t.Context(), []string{"load", "127.0.0.1:1", "--class", "a:safe", "--rate", "-5"}, cli.Wrong, "rate is -5"},
 		{gone, []string{"simulate", "calm"}, statusCut, "cut short"},
 	} {
 		status, _, errs := call(c.ctx, c.args...)
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,191 @@
+package load
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// target is a stand-in for a sidecar.
+func target(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	var served sync.WaitGroup
+	served.Go(func() { s.Serve(ln) })
+	t.Cleanup(func() { s.Close(); served.Wait() })
+	return ln.Addr().String()
+}
+
+func plan(addr string) *Plan {
+	return &Plan{
+		Targets: []string{addr}, Rate: 200, Arrivals: "constant", Length: 500 * time.Millisecond, Timeout: 2 * time.Second,
+		Classes: []Class{{"read", Safe, 1}, {"hold", Keyed, 1}, {"pay", Unsafe, 1}}, Tenants: []string{"acme"}, Keys: 10, Body: 100, MostOpen: 1000,
+	}
+}
+
+func TestRequestsAreAsTheProtocolHasThem(t *testing.T) {
+	var mu sync.Mutex
+	ids, classes := make(map[string]bool), make(map[string]int)
+	addr := target(t, func(w http.ResponseWriter, q *http.Request) {
+		body, _ := io.ReadAll(q.Body)
+		h := q.Header
+		class, keyed := h.Get("Request-Class"), h.Get("Idempotency-Key") != ""
+		want := map[string]struct {
+			method string
+			keyed  bool
+			body   int
+		}{"read": {"GET", false, 0}, "hold": {"POST", true, 100}, "pay": {"POST", false, 100}}[class]
+		mu.Lock()
+		defer mu.Unlock()
+		if q.Method != want.method || keyed != want.keyed || len(body) != want.body || h.Get("Request-Timeout") != "2.000" || h.Get("Tenant") != "acme" || h.Get("Affinity-Key") == "" || ids[h.Get("Request-Id")] {
+			t.Errorf("%s %v, %d bytes", q.Method, h, len(body))
+		}
+		ids[h.Get("Request-Id")] = true
+		classes[class]++
+	})
+	r, err := Run(t.Context(), plan(addr), nil)
+	if err != nil || r.Due != 100 || r.Outcomes["served"] != 100 || r.Unsent != 0 || r.Partial || r.Served.Count != 100 {
+		t.Errorf("%+v, %v", r, err)
+	}
+	if len(classes) != 3 || len(ids) != 100 {
+		t.Errorf("%v, %d ids", classes, len(ids))
+	}
+}
+
+// While a target stands still for a while, what is due then waits too, and its wait
+// counts: a load that only measured the requests it was free to send would see one.
+func TestLatencyCountsFromWhenARequestWasDue(t *testing.T) {
+	var once sync.Once
+	still := make(chan struct{})
+	addr := target(t, func(http.ResponseWriter, *http.Request) {
+		once.Do(func() { time.AfterFunc(400*time.Millisecond, func() { close(still) }) })
+		<-still
+	})
+	p := plan(addr)
+	p.Length = 350 * time.Millisecond
+	r, err := Run(t.Context(), p, nil)
+	if err != nil || r.Outcomes["served"] != r.Due || r.Due != 70 {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	// Evenly due over 350 ms and served at 400 or later: half waited 225 ms or more.
+	if r.Served.P50 < 200 || r.Served.Max < 390 {
+		t.Errorf("half within %v ms, all within %v", r.Served.P50, r.Served.Max)
+	}
+}
+
+func TestOutcomesAreToldApart(t *testing.T) {
+	var n atomic.Int64
+	addr := target(t, func(w http.ResponseWriter, q *http.Request) {
+		switch n.Add(1) % 5 {
+		case 0:
+			w.Header().Set("Retry-After", "0.5")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 1:
+			w.WriteHeader(http.StatusTooManyRequests)
+		case 2:
+			w.WriteHeader(http.StatusBadGateway)
+		case 3:
+			w.Header().Set("Content-Length", "10")
+			io.WriteString(w, "half")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	})
+	r, err := Run(t.Context(), plan(addr), nil)
+	if err != nil || r.Outcomes["refused"] != 40 || r.Outcomes["failed"] != 20 || r.Outcomes["lost"] != 20 || r.Outcomes["served"] != 20 || len(r.Errors) != mostErrors {
+		t.Errorf("%+v, %v", r, err)
+	}
+	for text, want := range map[string]time.Duration{"0.25": 250 * time.Millisecond, "2": 2 * time.Second, "": 0, "soon": 0, "-1": 0, "NaN": 0, "1e300": maxPause} {
+		if got := pause(text); got != want {
+			t.Errorf("Retry-After %q: %v, want %v", text, got, want)
+		}
+	}
+}
+
+// What is open is bounded, and what gave way is said.
+func TestOpenRequestsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	addr := target(t, func(http.ResponseWriter, *http.Request) { <-release })
+	p := plan(addr)
+	p.MostOpen = 7
+	seen := make(chan Result, 100)
+	done := make(chan *Result)
+	go func() {
+		r, err := Run(t.Context(), p, func(r Result) { seen <- r })
+		if err != nil {
+			t.Error(err)
+		}
+		done <- r
+	}()
+	if r := <-seen; r.Due != 100 || r.Unsent != 93 {
+		t.Errorf("under way: %+v", r)
+	}
+	close(release)
+	if r := <-done; r.MaxOpen != 7 || r.Outcomes["served"] != 7 || r.Unsent != 93 {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestLoadThatIsCutShortWaitsForItsAnswers(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var n atomic.Int64
+	addr := target(t, func(http.ResponseWriter, *http.Request) {
+		if n.Add(1) == 20 {
+			cancel()
+		}
+	})
+	p := plan(addr)
+	p.Length = time.Hour
+	r, err := Run(ctx, p, nil)
+	if err != nil || !r.Partial || r.Due < 20 || r.Outcomes["served"] != r.Due {
+		t.Errorf("%+v, %v", r, err)
+	}
+}
+
+func TestRecordedArrivals(t *testing.T) {
+	times, err := ReadArrivals(strings.NewReader("0\n0.01\n\n0.01\n0.02\n"))
+	if err != nil || len(times) != 4 || times[3] != 20*time.Millisecond {
+		t.Fatalf("%v, %v", times, err)
+	}
+	p := plan(target(t, func(http.ResponseWriter, *http.Request) {}))
+	p.Arrivals, p.Recorded = "recorded", times
+	if r, err := Run(t.Context(), p, nil); err != nil || r.Due != 4 {
+		t.Errorf("%+v, %v", r, err)
+	}
+	for _, text := range []string{"1\n0.5\n", "soon\n", "-1\n", "NaN\n", "1e9\n"} {
+		if _, err := ReadArrivals(strings.NewReader(text)); err == nil || !strings.Contains(err.Error(), "line ") {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+func TestPlansThatCannotBeAreRefused(t *testing.T) {
+	for want, change := range map[string]func(*Plan){
+		"targets":  func(p *Plan) { p.Targets = nil },
+		"rate":     func(p *Plan) { p.Rate = -1 },
+		"length":   func(p *Plan) { p.Length = 0 },
+		"timeout":  func(p *Plan) { p.Timeout = 0 },
+		"arrivals": func(p *Plan) { p.Arrivals = "sometimes" },
+		"recorded": func(p *Plan) { p.Arrivals = "recorded" },
+		"classes":  func(p *Plan) { p.Classes = nil },
+		"effect":   func(p *Plan) { p.Classes[0].Effect = "odd" },
+		"body":     func(p *Plan) { p.Body = maxBody + 1 },
+		"open":     func(p *Plan) { p.MostOpen = 0 },
+	} {
+		p := plan("127.0.0.1:1")
+		change(p)
+		if _, err := Run(t.Context(), p, nil); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+}
