Lab: a scenario on real sockets, with real sidecar processes and our registry

A newcomer could not see the sidecar carry a request. barleylab lab starts a registry, the emulator's servers behind listeners, sidecar processes and clients on loopback, plays a scenario's calls and most troubles in real time, and judges the four rules.

--- /dev/null
+++ b/cmd/barleylab/lab.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"barleywick/internal/cli"
+	"barleywick/internal/emulator"
+	"barleywick/internal/lab"
+	"barleywick/internal/report"
+)
+
+// What a lab on one machine has where nothing is said.
+const (
+	labSidecars = 3
+	labServers  = 8
+	labLength   = 20 * time.Second
+)
+
+func labCommand() *cobra.Command {
+	var out output
+	var o lab.Options
+	var sidecars, servers int
+	var length time.Duration
+	c := &cobra.Command{
+		Use: "lab [SCENARIO]", Short: "Play a day on real sockets, with real sidecar processes", Args: cobra.MaximumNArgs(1),
+		Long: `lab starts a registry, booking servers and sidecar processes on loopback, lets clients ask
+them as the scenario says, and follows each request to its one answer. Everything it
+starts ends with it, also at Ctrl-C; what was played until then is told.
+SCENARIO is a name (simulate --list has them; some are for simulated time only) or a file
+ending in .toml; calm where it is left out.`,
+		Example: "  barleylab lab slow --length 30s --html lab.html",
+	}
+	f := c.Flags()
+	f.Uint64Var(&o.Seed, "seed", 1, "of all that is drawn")
+	f.IntVar(&sidecars, "sidecars", labSidecars, "of a scenario that has a name")
+	f.IntVar(&servers, "servers", labServers, "of a scenario that has a name")
+	f.DurationVar(&length, "length", labLength, "of a scenario that has a name")
+	f.StringVar(&o.Program, "sidecar", "", "the sidecar's `PROGRAM`; barleywick beside barleylab where it is left out")
+	f.StringVar(&o.Logs, "logs", "", "keep the sidecars' logs in `FOLDER`")
+	out.flags(c)
+	c.RunE = func(c *cobra.Command, args []string) error {
+		name := "calm"
+		if len(args) > 0 {
+			name = args[0]
+		}
+		sc, err := scenario(name, sidecars, servers)
+		if err != nil {
+			return err
+		}
+		if length <= 0 {
+			return cli.WrongCall("--length must be above 0")
+		}
+		if filepath.Ext(name) != ".toml" {
+			sc.Stretch(length)
+		}
+		if o.Scenario = sc; o.Program == "" {
+			self, err := os.Executable()
+			if err != nil {
+				return fmt.Errorf("find the sidecar: %w", err)
+			}
+			o.Program = filepath.Join(filepath.Dir(self), "barleywick")
+		}
+		if _, err := os.Stat(o.Program); err != nil {
+			return fmt.Errorf("the sidecar's program: %w; --sidecar names it", err)
+		}
+		if o.Logs != "" {
+			if err := os.MkdirAll(o.Logs, 0o755); err != nil {
+				return fmt.Errorf("--logs: %w", err)
+			}
+		}
+		live := c.ErrOrStderr()
+		// The registry in this process has a log of its own, of which a user wants the worst.
+		slog.SetDefault(slog.New(slog.NewTextHandler(live, &slog.HandlerOptions{Level: slog.LevelError})))
+		o.Progress = func(r *emulator.Record) {
+			if terminal(live) {
+				fmt.Fprintf(live, "\r\x1b[K%d asked, %d served, %d refused, %d failed", r.Requests, r.ServedAll, r.Refused, r.Failed)
+			}
+		}
+		fmt.Fprintf(c.OutOrStdout(), "%s: %d sidecars, %d servers, about %.0f requests a second for %v\n", sc.Name, sc.Sidecars, sc.Servers, sc.Rate(), time.Duration(sc.Length))
+		r, err := lab.Run(c.Context(), o)
+		if terminal(live) {
+			fmt.Fprintln(live)
+		}
+		if r == nil || (err != nil && !errors.Is(err, context.Canceled)) {
+			return err
+		}
+		fmt.Fprintln(c.OutOrStdout(), r.Line())
+		if err := out.writeAll(r, func() (*report.Page, error) { return report.OfRecord(r, time.Now()) }); err != nil {
+			return err
+		}
+		return verdict(r)
+	}
+	return c
+}
+
+// verdict is the status that a day ends with.
+func verdict(r *emulator.Record) error {
+	switch {
+	case r.Partial:
+		return cli.Status(statusCut, "cut short")
+	case len(r.Broken) > 0:
+		return cli.Status(statusBroken, "a rule was broken")
+	}
+	return nil
+}
--- a/cmd/barleylab/main.go
+++ b/cmd/barleylab/main.go
@@ -1,5 +1,5 @@
-// Barleylab is the workbench: it plays fleets in simulated time, compares variants
-// and writes reports. It is a program of its own, so that the sidecar stays small.
+// Barleylab is the workbench: it plays fleets in simulated time and on real sockets,
+// compares variants and writes reports. It is a program of its own, so that the sidecar stays small.
 package main
 
 import (
@@ -35,17 +35,19 @@
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use: "barleylab", Short: "Plays fleets of sidecars and tells what came of it",
-		Long: `barleylab plays fleets of sidecars, in simulated time, and tells what came of it.
+		Long: `barleylab plays fleets of sidecars, in simulated time or on real sockets, and tells what
+came of it.
 
 ` + cli.Statuses + `
  3  a rule was broken
  4  cut short; what was written tells of the part that was played`,
-		Example: `  barleylab simulate herd --sidecars 60 --servers 40 --html herd.html
+		Example: `  barleylab lab --html lab.html
+  barleylab simulate herd --sidecars 60 --servers 40 --html herd.html
   barleylab experiment walls.toml --json walls.json --html walls.html
   barleylab report walls.json --html walls.html`,
 		Args: cli.NoArgs, RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	root.AddCommand(simulateCommand(), experimentCommand(), loadCommand(), reportCommand(), cli.VersionCommand("barleylab"))
+	root.AddCommand(simulateCommand(), labCommand(), experimentCommand(), loadCommand(), reportCommand(), cli.VersionCommand("barleylab"))
 	return root
 }
 
@@ -149,13 +151,7 @@
 		if err := out.writeAll(r, func() (*report.Page, error) { return report.OfRecord(r, time.Now()) }); err != nil {
 			return err
 		}
-		switch {
-		case r.Partial:
-			return cli.Status(statusCut, "cut short")
-		case len(r.Broken) > 0:
-			return cli.Status(statusBroken, "a rule was broken")
-		}
-		return nil
+		return verdict(r)
 	}
 	return c
 }
--- a/internal/emulator/arrivals.go
+++ b/internal/emulator/arrivals.go
@@ -115,18 +115,18 @@
 	for i := range sc.Sidecars {
 		rate := lognormal(1, sc.Clients.Uneven, a.pull)
 		if len(sc.Zones) > 1 {
-			rate *= pick(sc.zoneOf(i) == 0, 1+sc.Clients.ZoneSkew, 1-sc.Clients.ZoneSkew/float64(len(sc.Zones)-1))
+			rate *= pick(sc.ZoneOf(i) == 0, 1+sc.Clients.ZoneSkew, 1-sc.Clients.ZoneSkew/float64(len(sc.Zones)-1))
 		}
 		sum += rate
 		a.rates = append(a.rates, rate)
 	}
 	for i := range a.rates {
-		a.rates[i] *= sc.rate() / sum
+		a.rates[i] *= sc.Rate() / sum
 	}
 }
 
-// zoneOf is the zone of a sidecar.
-func (s *Scenario) zoneOf(sidecar int) int { return sidecar % len(s.Zones) }
+// ZoneOf is the zone of a sidecar.
+func (s *Scenario) ZoneOf(sidecar int) int { return sidecar % len(s.Zones) }
 
 // gap draws the time to a sidecar's next candidate, at the highest rate there may be:
 // candidates are thinned to the rate of their time, which keeps them Poisson.
--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -17,6 +17,7 @@
 	told    []map[int]time.Duration // of each sidecar: when it was told that a server drains or is gone
 	cold    map[int][]arrival       // by server: the work that reached it lately
 	zones   func(server int) (zone, cell int)
+	sockets bool
 
 	// Broken are the first breaches, in words; Breaches counts all of them, by rule.
 	Broken   []string
@@ -32,7 +33,6 @@
 	class    *Class
 	deadline time.Duration
 	tries    []try
-	answered bool
 }
 
 type try struct {
@@ -64,6 +64,19 @@
 	return c
 }
 
+// SocketSlack is how long past its time an answer on real sockets is only late, and
+// not lost: the machine that all share may be busy.
+const SocketSlack = 500 * time.Millisecond
+
+// NewSocketChecker makes a Checker for real sockets. Servers tell of sends there, and
+// one that was called off may reach its server after its request has ended.
+func NewSocketChecker(s *Scenario, f *Fleet) *Checker {
+	c := newChecker(s, f.Group)
+	c.sockets = true
+	c.rules.AnswerSlack = Span(SocketSlack)
+	return c
+}
+
 func (c *Checker) breach(rule int, format string, args ...any) {
 	c.Breaches[rule]++
 	if len(c.Broken) < mostBroken {
@@ -81,7 +94,10 @@
 func (c *Checker) Sent(now time.Duration, id policy.RequestID, server int) {
 	c.Sends++
 	r := c.open[id]
-	if r == nil || r.answered {
+	if r == nil {
+		if c.sockets {
+			return
+		}
 		c.breach(1, "request %d was sent to server %d at %v, after its end", id, server, now)
 		return
 	}
@@ -147,6 +163,12 @@
 	}
 }
 
+// Wrong takes an answer that no server made for the request: the request is lost.
+func (c *Checker) Wrong(now time.Duration, id policy.RequestID) {
+	c.breach(1, "request %d was served at %v with what no server made for it", id, now)
+	delete(c.open, id)
+}
+
 // Left takes that a client went away early: nothing is owed any more.
 func (c *Checker) Left(id policy.RequestID) { delete(c.open, id) }
 
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -43,7 +43,7 @@
 	if !more {
 		return
 	}
-	c.sim.plan(dawn+next.At, func() {
+	c.sim.plan(Dawn+next.At, func() {
 		c.first(next)
 		c.begin()
 	})
--- a/internal/emulator/list.go
+++ b/internal/emulator/list.go
@@ -132,7 +132,7 @@
 // watch is a sidecar's call for the list and all changes from then on.
 func (l *list) watch(n *node) {
 	s, spec := l.sim, l.sim.sc.List
-	s.rec.listCalls++
+	s.rec.ListCalls++
 	way := s.way(n.zone, 0)
 	if l.down {
 		n.mine(2*way, func() { l.failed(n) })
@@ -160,7 +160,7 @@
 }
 
 func (l *list) failed(n *node) {
-	l.sim.rec.listFailures++
+	l.sim.rec.ListFailed++
 	n.watching = false
 	n.b.List(l.sim.now, policy.ListFailed, nil)
 }
--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -57,13 +57,10 @@
 		Requests, Answers, Sends, Repeats, ColdSends int
 	} `json:"judged"`
 
-	wasted, offered                                           float64
-	lateWorth                                                 float64
-	sends, turnedAway, handshakes, probes, crossed, listCalls int
-	listFailures, restarts, fell                              int
-	latency                                                   *hdrhistogram.Histogram
-	perWindow                                                 []*hdrhistogram.Histogram
-	sc                                                        *Scenario
+	wasted, offered, lateWorth float64
+	latency                    *hdrhistogram.Histogram
+	perWindow                  []*hdrhistogram.Histogram
+	sc                         *Scenario
 }
 
 // Part is the worth of a class or tenant.
@@ -100,7 +97,8 @@
 	digits       = 2        // of a latency: a hundredth is finer than the noise
 )
 
-func newRecord(sc *Scenario, seed uint64) *Record {
+// NewRecord makes the record of a day that begins.
+func NewRecord(sc *Scenario, seed uint64) *Record {
 	r := &Record{
 		Scenario: sc.Name, Seed: seed, Sidecars: sc.Sidecars, Servers: sc.Servers, Zones: sc.Zones, Length: time.Duration(sc.Length),
 		Troubles: sc.Troubles, latency: hdrhistogram.New(leastLatency, mostLatency, digits), sc: sc,
@@ -117,24 +115,23 @@
 	return r
 }
 
-// sample notes the servers' state at each second.
-func (r *Record) sample(s *Sim) {
-	i := int((s.now - dawn) / time.Second)
-	if i >= len(r.Windows) {
+// Sample notes a server's state at a time of the day. What a zone's servers have adds up.
+func (r *Record) Sample(at time.Duration, zone, waiting int, capacity float64) {
+	i := int(at / time.Second)
+	if i < 0 || i >= len(r.Windows) {
 		return
 	}
 	w := &r.Windows[i]
-	w.Queue, w.Capacity = make([]int, len(s.sc.Zones)), make([]float64, len(s.sc.Zones))
-	for _, sv := range s.servers {
-		_, waiting := sv.Held()
-		w.Queue[sv.Zone] += waiting
-		if !sv.Draining && !sv.Silent {
-			w.Capacity[sv.Zone] += sv.Capacity(s.now)
-		}
+	if w.Queue == nil {
+		w.Queue, w.Capacity = make([]int, len(r.Zones)), make([]float64, len(r.Zones))
 	}
-	s.after(time.Second, func() { r.sample(s) })
+	w.Queue[zone] += waiting
+	w.Capacity[zone] += capacity
 }
 
+// Wasted takes work that served nobody, in seconds on a core of speed 1.
+func (r *Record) Wasted(work float64) { r.wasted += work }
+
 // window is the second in which a call came, and its index.
 func (r *Record) window(c Call) (*Window, int) {
 	i := min(len(r.Windows)-1, int(c.At/time.Second))
@@ -214,12 +211,9 @@
 	worstWindow  = 10 // seconds
 )
 
-// finish sums the day up.
-func (r *Record) finish(s *Sim, partial bool) {
+// Finish sums the day up, with what the Checker found.
+func (r *Record) Finish(c *Checker, partial bool) {
 	r.Partial = partial
-	r.Events = int(s.count)
-	r.Sends, r.TurnedAway, r.Handshakes, r.Probes, r.Crossed = r.sends, r.turnedAway, r.handshakes, r.probes, r.crossed
-	r.ListCalls, r.ListFailed, r.Restarts, r.Fell = r.listCalls, r.listFailures, r.restarts, r.fell
 	var whole Part
 	class, tenant, worst := 1.0, 1.0, 1.0
 	for _, p := range r.Classes {
@@ -246,8 +240,8 @@
 	}
 	r.Goodput = whole.Share()
 	if n := float64(r.Requests); n > 0 {
-		p := s.sc.Prices
-		r.Prices = (p.CrossZone*float64(r.crossed) + p.Probe*float64(r.probes) + p.Handshake*float64(r.handshakes)) / n
+		p := r.sc.Prices
+		r.Prices = (p.CrossZone*float64(r.Crossed) + p.Probe*float64(r.Probes) + p.Handshake*float64(r.Handshakes)) / n
 		if r.offered > 0 {
 			r.Prices += p.Waste * r.wasted / r.offered
 		}
@@ -259,7 +253,6 @@
 	r.P50MS = float64(r.latency.ValueAtQuantile(50)) / 1e3
 	r.P99MS = float64(r.latency.ValueAtQuantile(99)) / 1e3
 	r.P999MS = float64(r.latency.ValueAtQuantile(99.9)) / 1e3
-	c := s.check
 	r.Breaches, r.Broken = c.Breaches, c.Broken
 	r.Judged.Requests, r.Judged.Answers, r.Judged.Sends, r.Judged.Repeats, r.Judged.ColdSends = c.Requests, c.Answers, c.Sends, c.Repeats, c.ColdSends
 }
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -327,8 +327,8 @@
 // capacity is what a kind of machine can do: work a second, on a core of speed 1.
 func (k Kind) capacity() float64 { return float64(k.Cores) * k.Speed }
 
-// rate is how many first tries come in a second, over all sidecars.
-func (s *Scenario) rate() float64 {
+// Rate is how many first tries come in a second, over all sidecars.
+func (s *Scenario) Rate() float64 {
 	capacity, kinds := 0.0, 0.0
 	for _, k := range s.Kinds {
 		capacity += k.Share * k.capacity()
@@ -384,7 +384,7 @@
 	if s.Load == 0 {
 		return 0
 	}
-	return s.Tenants[tenant].Share / shares * s.rate() / s.Load * quotaPart
+	return s.Tenants[tenant].Share / shares * s.Rate() / s.Load * quotaPart
 }
 
 func (c Class) effect() policy.Effect {
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/hashicorp/golang-lru/v2/simplelru"
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // Job is a request at a booking server.
@@ -82,25 +82,25 @@
 	work float64
 }
 
-// Cell is a few servers that share which keys they have met; Zone's repeats are
-// dropped by all servers of a zone.
+// Cell is a few servers that share which keys they have met. Servers of one cell or
+// zone may be used concurrently: what they share has locks of its own.
 type Cell struct {
 	Number int
-	keys   *simplelru.LRU[uint64, time.Duration]
+	keys   *lru.Cache[uint64, time.Duration]
 	zone   *repeats
 	spec   Keys
 }
 
 // repeats are the keyed requests that a zone has met.
 type repeats struct {
-	met *simplelru.LRU[uint64, time.Duration]
+	met *lru.Cache[uint64, time.Duration]
 }
 
 // mostRepeats bounds what a zone remembers of keyed requests: more than come within a window.
 const mostRepeats = 1 << 17
 
 func newRepeats() *repeats {
-	met, err := simplelru.NewLRU[uint64, time.Duration](mostRepeats, nil)
+	met, err := lru.New[uint64, time.Duration](mostRepeats)
 	if err != nil {
 		panic(err) // the size is a constant
 	}
@@ -109,7 +109,7 @@
 
 // NewCell makes a cell that remembers so many keys.
 func newCell(number int, zone *repeats, spec Keys, cores int) *Cell {
-	keys, err := simplelru.NewLRU[uint64, time.Duration](max(1, spec.PerCore*cores), nil)
+	keys, err := lru.New[uint64, time.Duration](max(1, spec.PerCore*cores))
 	if err != nil {
 		panic(err) // the size is at least 1
 	}
@@ -159,8 +159,21 @@
 	return s.full() * s.warmth(now) * s.factor()
 }
 
-// Held is how many requests it has, and how many of them wait.
-func (s *Server) Held() (all, waiting int) { return len(s.running) + len(s.queue), len(s.queue) }
+// State is how many requests wait there, and the capacity that callers can use.
+func (s *Server) State(now time.Duration) (waiting int, capacity float64) {
+	if !s.Draining && !s.Silent {
+		capacity = s.Capacity(now)
+	}
+	return len(s.queue), capacity
+}
+
+// Cold is what it can do now while it is cold, troubles apart; 0 once it is warm.
+func (s *Server) Cold(now time.Duration) float64 {
+	if w := s.warmth(now); w < 1 {
+		return s.full() * w
+	}
+	return 0
+}
 
 // factor is what troubles, crowding and connections leave of the speed.
 func (s *Server) factor() float64 {
--- /dev/null
+++ b/internal/emulator/settings.go
@@ -0,0 +1,36 @@
+package emulator
+
+import "time"
+
+// Settings is what a sidecar's configuration file holds on this day under
+// 'settings', in the platform's form.
+func (s *Scenario) Settings(sidecar int) map[string]any {
+	ms := func(d Span) float64 { return float64(d) / float64(time.Millisecond) }
+	p := s.Policy(s.ZoneOf(sidecar))
+	semantics := map[string]string{"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
+	var classes, tenants []map[string]any
+	for _, c := range s.Classes {
+		classes = append(classes, map[string]any{
+			"name": c.Name, "aim_ms": ms(c.Aim), "hard_limit_ms": ms(c.Deadline), "late_share": c.LateWorth, "worth": c.Worth,
+			"semantics": semantics[c.Effect], "dedup_scope": c.Group, "window_ms": ms(c.Window), "stream": false,
+		})
+	}
+	for i, t := range s.Tenants {
+		tenants = append(tenants, map[string]any{"name": t.Name, "share": t.Share, "quota_per_s": s.quota(i)})
+	}
+	return map[string]any{
+		"balancers": s.Sidecars, "me": sidecar, "zone": s.ZoneOf(sidecar), "zones": s.Zones,
+		"classes": classes, "orgs": tenants, "discovery": "ask", "weights": "rough", "worth_by": "work",
+		"family_info": map[string]any{"warm_keys": p.WarmKeys},
+		"telemetry":   map[string]any{"how": "pull", "columns": []string{"pending", "cpu_share", "served_ps"}},
+		"caps": map[string]any{
+			"most_tries": s.Rules.MostTries, "may_cancel": true, "probes": true, "retry_after": true, "second_copies": true,
+			"max_retry_after_ms": ms(s.Rules.RetryAfter), "dial_timeout_ms": ms(s.Network.ConnectWithin), "conn_idle_ms": ms(s.Network.IdleFor),
+		},
+		"charges": map[string]any{"cross_zone": s.Prices.CrossZone, "probe": s.Prices.Probe, "waste": s.Prices.Waste, "handshake": s.Prices.Handshake, "late_fail": s.Prices.LateFail},
+		"rules": map[string]any{
+			"answer_slack_ms": ms(s.Rules.AnswerSlack), "ask_within_ms": ms(s.Rules.AskWithin), "stop_sending_within_ms": ms(s.Rules.StopWithin),
+			"fall_multiple": s.Rules.FallMultiple, "overload_for_ms": ms(s.Rules.FallTime), "cold_from": p.ColdFrom, "cold_ms": ms(Span(p.ColdTime)),
+		},
+	}
+}
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -9,8 +9,6 @@
 	"math/rand/v2"
 	"time"
 
-	"gonum.org/v1/gonum/stat/distuv"
-
 	"barleywick/policy"
 )
 
@@ -36,22 +34,18 @@
 // Sim plays a scenario in simulated time. All of it runs in the caller's goroutine;
 // what happens follows from scenario, seed and Decider alone.
 type Sim struct {
-	sc    *Scenario
-	seed  uint64
 	make  Make
 	now   time.Duration
 	queue events
 	count uint64 // of events ever planned: ties go in the order of planning
 
-	servers []*Server // by index; those that have gone stay
-	at      []time.Duration
+	*Fleet
+	at      []time.Duration // when each server is looked at next
 	nodes   []*node
 	list    *list
 	clients *clients
 	check   *Checker
 	rec     *Record
-	cells   []*Cell
-	zones   []*repeats
 
 	luck  *rand.Rand // of troubles, servers and network: the same for all variants
 	chaos *rand.Rand // of what depends on what the sidecars did
@@ -86,8 +80,8 @@
 	return x
 }
 
-// dawn is when a day begins: a decision module takes time 0 for long ago.
-const dawn = time.Hour
+// Dawn is the time at which a day begins: a decision module takes time 0 for long ago.
+const Dawn = time.Hour
 
 // stream numbers of the random sources that follow from a seed.
 const (
@@ -104,23 +98,24 @@
 	if err := sc.Check(); err != nil {
 		return nil, err
 	}
-	s := &Sim{sc: sc, seed: seed, make: decide, now: dawn, cut: make([]int, len(sc.Zones))}
+	s := &Sim{make: decide, now: Dawn, cut: make([]int, len(sc.Zones))}
 	s.luck = source(seed, streamLuck, 0)
 	s.chaos = source(seed, streamChaos, 0)
-	s.check = newChecker(sc, func(i int) (int, int) { return s.servers[i].Zone, s.servers[i].Cell.Number })
-	s.rec = newRecord(sc, seed)
-	for range sc.Zones {
-		s.zones = append(s.zones, newRepeats())
-	}
+	s.check = newChecker(sc, func(i int) (int, int) { return s.Group(i) })
+	s.rec = NewRecord(sc, seed)
+	s.Fleet = NewFleet(sc, seed, s.luck)
 	s.list = newList(s)
-	s.build()
+	for _, sv := range s.Servers {
+		s.at = append(s.at, Never)
+		s.list.know(sv)
+	}
 	for i := range sc.Sidecars {
-		s.nodes = append(s.nodes, &node{sim: s, index: i, zone: sc.zoneOf(i), idle: make(map[int][]time.Duration)})
+		s.nodes = append(s.nodes, &node{sim: s, index: i, zone: sc.ZoneOf(i), idle: make(map[int][]time.Duration)})
 	}
 	s.clients = newClients(s)
 	for i := range sc.Troubles {
 		t := &sc.Troubles[i]
-		s.plan(dawn+time.Duration(t.At), func() {
+		s.plan(Dawn+time.Duration(t.At), func() {
 			undo := troubleKinds[t.Name].begin(s, t)
 			if undo != nil {
 				s.after(time.Duration(t.For), undo)
@@ -130,57 +125,14 @@
 	return s, nil
 }
 
-// build sets up the servers that are there from the beginning.
-func (s *Sim) build() {
-	kinds := make([]float64, len(s.sc.Kinds))
-	for i, k := range s.sc.Kinds {
-		kinds[i] = k.Share
-	}
-	kind := distuv.NewCategorical(kinds, s.luck)
-	var cell *Cell
-	for z := range s.sc.Zones {
-		here := (s.sc.Servers + len(s.sc.Zones) - 1 - z) / len(s.sc.Zones)
-		for n := range here {
-			k := s.sc.Kinds[int(kind.Rand())]
-			if n%s.sc.Keys.Cell == 0 {
-				cell = newCell(len(s.cells), s.zones[z], s.sc.Keys, k.Cores*s.sc.Keys.Cell)
-				s.cells = append(s.cells, cell)
-			}
-			sv := s.place(z, k, cell, k.Speed*math.Exp(k.SpeedCV*s.luck.NormFloat64()))
-			sv.Alive, sv.Born = true, 0
-			s.list.know(sv)
-		}
-	}
-}
-
-// place makes a server that does not run yet.
-func (s *Sim) place(zone int, k Kind, cell *Cell, speed float64) *Server {
-	sv := &Server{
-		Index: len(s.servers), Zone: zone, Cell: cell, Kind: k, Speed: speed, Slow: 1, rules: s.sc.Rules, accepts: s.sc.Network.PerCore, at: s.now,
-		rng: source(s.seed, streamServers, len(s.servers)), reportAt: s.now,
-	}
-	s.servers = append(s.servers, sv)
-	s.at = append(s.at, Never)
-	return sv
-}
-
 // add starts a new server, cold, of which the list learns in time.
 func (s *Sim) add(zone int, k Kind, cell *Cell, speed float64) {
-	sv := s.place(zone, k, cell, speed)
+	sv := s.Place(zone, k, cell, speed, s.now)
+	s.at = append(s.at, Never)
 	sv.Start(s.now)
 	s.list.changed(sv)
 }
 
-// live are the servers that run and don't drain, by index.
-func (s *Sim) live() (live []*Server) {
-	for _, sv := range s.servers {
-		if sv.Alive && !sv.Draining {
-			live = append(live, sv)
-		}
-	}
-	return live
-}
-
 // plan has something done at a time.
 func (s *Sim) plan(at time.Duration, do func()) {
 	s.count++
@@ -199,11 +151,11 @@
 		n.start()
 	}
 	s.clients.begin()
-	s.rec.sample(s)
-	end := dawn + time.Duration(s.sc.Length) + s.longest() + 2*time.Duration(s.sc.Rules.AnswerSlack)
+	s.sample()
+	end := Dawn + time.Duration(s.sc.Length) + s.longest() + 2*time.Duration(s.sc.Rules.AnswerSlack)
 	for n := 0; len(s.queue) > 0 && s.failure == nil; n++ {
 		if n%checkEvery == 0 && ctx.Err() != nil {
-			s.rec.finish(s, true)
+			s.finish(true)
 			return s.rec, ctx.Err()
 		}
 		e := heap.Pop(&s.queue).(event)
@@ -215,10 +167,25 @@
 	}
 	s.now = end
 	s.check.Finish(end)
-	s.rec.finish(s, false)
+	s.finish(false)
 	return s.rec, s.failure
 }
 
+// finish sums the day up.
+func (s *Sim) finish(partial bool) {
+	s.rec.Events = int(s.count)
+	s.rec.Finish(s.check, partial)
+}
+
+// sample notes the servers' state, once a second.
+func (s *Sim) sample() {
+	for _, sv := range s.Servers {
+		waiting, capacity := sv.State(s.now)
+		s.rec.Sample(s.now-Dawn, sv.Zone, waiting, capacity)
+	}
+	s.after(time.Second, s.sample)
+}
+
 // longest is the longest deadline.
 func (s *Sim) longest() time.Duration {
 	longest := time.Duration(0)
@@ -258,15 +225,15 @@
 	}
 	a.done = true
 	if a.ended || a.r.over {
-		s.rec.wasted += j.spent
+		s.rec.Wasted(j.spent)
 	}
 	a.spent = j.spent
 	switch {
 	case j.Failed:
-		s.rec.wasted += j.spent
+		s.rec.Wasted(j.spent)
 		s.reply(sv, a, policy.Errored)
 	case s.spoiltPart > 0 && s.chaos.Float64() < s.spoiltPart:
-		s.rec.wasted += j.spent
+		s.rec.Wasted(j.spent)
 		s.reply(sv, a, policy.Errored)
 	default:
 		s.reply(sv, a, policy.Served)
@@ -309,7 +276,7 @@
 	}
 	for _, j := range sv.Kill(s.now) {
 		a := j.Owner.(*attempt)
-		s.rec.wasted += j.spent
+		s.rec.Wasted(j.spent)
 		s.reply(sv, a, policy.Broken)
 	}
 	s.list.changed(sv)
@@ -406,15 +373,15 @@
 		}
 	}
 	n.open = nil
-	for i := range s.servers {
+	for i := range s.Servers {
 		if free := n.idle[i]; len(free) > 0 {
-			s.servers[i].Open = max(0, s.servers[i].Open-len(free))
+			s.Servers[i].Open = max(0, s.Servers[i].Open-len(free))
 		}
 	}
 	clear(n.idle)
 	s.check.Killed(n.index)
 	s.list.leave(n)
-	s.rec.restarts++
+	s.rec.Restarts++
 	s.after(down, n.start)
 }
 
@@ -451,7 +418,7 @@
 // Send starts the next attempt of a request.
 func (n *node) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
 	s := n.sim
-	sv := s.servers[int(to)-1]
+	sv := s.Servers[int(to)-1]
 	s.check.Sent(s.now, id, sv.Index)
 	r := n.open[id]
 	if r == nil {
@@ -459,9 +426,9 @@
 	}
 	a := &attempt{r: r, n: len(r.attempts), to: sv}
 	r.attempts = append(r.attempts, a)
-	s.rec.sends++
+	s.rec.Sends++
 	if sv.Zone != n.zone {
-		s.rec.crossed++
+		s.rec.Crossed++
 	}
 	timeout = min(timeout, r.deadline-s.now)
 	n.mine(max(0, timeout), func() { n.end(a, policy.TimedOut) })
@@ -485,7 +452,7 @@
 		sv.Open = max(0, sv.Open-1)
 	}
 	n.idle[sv.Index] = idle
-	s.rec.handshakes++
+	s.rec.Handshakes++
 	if sv.Silent || !s.reach(n.zone, sv.Zone) { // no word comes back
 		n.mine(time.Duration(s.sc.Network.ConnectWithin), func() { n.fail(a, policy.NoConnection) })
 		return
@@ -531,9 +498,8 @@
 	}
 	s.touch(sv)
 	work := a.r.call.Work
-	cold := sv.Alive && sv.warmth(s.now) < 1
-	if cold {
-		s.check.Reached(s.now, sv.Index, work, sv.full()*sv.warmth(s.now))
+	if sv.Alive && sv.Cold(s.now) > 0 {
+		s.check.Reached(s.now, sv.Index, work, sv.Cold(s.now))
 	}
 	j := &Job{Work: work, Key: a.r.call.Key, Deadline: a.r.deadline, Owner: a}
 	if c := s.sc.Classes[a.r.call.Class]; c.Effect == "keyed" {
@@ -547,11 +513,11 @@
 		s.touch(sv)
 	case Away:
 		s.check.Ended(a.r.id, a.n, false)
-		s.rec.turnedAway++
+		s.rec.TurnedAway++
 		s.reply(sv, a, policy.TurnedAway)
 	case Nobody:
 		if sv.Fell && !fell {
-			s.rec.fell++
+			s.rec.Fell++
 			s.kill(sv)
 		}
 		s.check.Ended(a.r.id, a.n, false)
@@ -581,7 +547,7 @@
 		settled = true
 		n.answer(r, AnswerServed, 0)
 	} else if end == policy.Served && a.done {
-		s.rec.wasted += a.spent
+		s.rec.Wasted(a.spent)
 	}
 	if n.b != nil && n.up {
 		n.b.Outcome(s.now, policy.Outcome{ID: r.id, Attempt: a.n, Ending: end, Settled: settled})
@@ -648,8 +614,8 @@
 
 // Probe asks a server for its load.
 func (n *node) Probe(to policy.ServerID) {
-	s, sv := n.sim, n.sim.servers[int(to)-1]
-	s.rec.probes++
+	s, sv := n.sim, n.sim.Servers[int(to)-1]
+	s.rec.Probes++
 	if sv.Silent || !s.reach(n.zone, sv.Zone) {
 		n.mine(probeFor, func() { n.b.Probed(s.now, to, false, policy.NoLoad) })
 		return
--- a/internal/emulator/trouble.go
+++ b/internal/emulator/trouble.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -78,18 +77,11 @@
 	return nil
 }
 
-// befallen picks a part of n, at random and in order.
-func (s *Sim) befallen(n int, part float64) []int {
-	picked := s.luck.Perm(n)[:int(math.Round(part*float64(n)))]
-	slices.Sort(picked)
-	return picked
-}
-
 // afflict changes some servers for a while.
 func (s *Sim) afflict(t *Trouble, change func(sv *Server, on bool)) func() {
 	var some []*Server
-	live := s.live()
-	for _, i := range s.befallen(len(live), t.Part) {
+	live := s.Live()
+	for _, i := range Befallen(s.luck, len(live), t.Part) {
 		some = append(some, live[i])
 	}
 	set := func(on bool) {
@@ -154,8 +146,8 @@
 
 func (s *Sim) killServers(t *Trouble) func() {
 	var dead []*Server
-	live := s.live()
-	for _, i := range s.befallen(len(live), t.Part) {
+	live := s.Live()
+	for _, i := range Befallen(s.luck, len(live), t.Part) {
 		dead = append(dead, live[i])
 		s.kill(live[i])
 	}
@@ -164,7 +156,7 @@
 
 func (s *Sim) zoneLost(t *Trouble) func() {
 	var dead []*Server
-	for _, sv := range s.live() {
+	for _, sv := range s.Live() {
 		if sv.Zone == t.Zone {
 			dead = append(dead, sv)
 			s.kill(sv)
@@ -175,8 +167,8 @@
 
 // replace drains servers one after the other; each has a successor of the same zone and kind.
 func (s *Sim) replace(t *Trouble) func() {
-	live := s.live()
-	some := s.befallen(len(live), t.Part)
+	live := s.Live()
+	some := Befallen(s.luck, len(live), t.Part)
 	for n, i := range some {
 		sv := live[i]
 		s.after(time.Duration(float64(t.For)*float64(n)/float64(len(some))), func() {
@@ -216,14 +208,14 @@
 }
 
 func (s *Sim) herd(t *Trouble) func() {
-	for _, i := range s.befallen(len(s.nodes), t.Part) {
+	for _, i := range Befallen(s.luck, len(s.nodes), t.Part) {
 		s.restart(s.nodes[i], time.Duration(t.Extra))
 	}
 	return nil
 }
 
 func (s *Sim) roll(t *Trouble) func() {
-	some := s.befallen(len(s.nodes), t.Part)
+	some := Befallen(s.luck, len(s.nodes), t.Part)
 	for n, i := range some {
 		node := s.nodes[i]
 		s.after(time.Duration(float64(t.For)*float64(n)/float64(len(some))), func() { s.restart(node, time.Duration(t.Extra)) })
