A person's TOML configuration, metrics for Prometheus, and request ids in the log

A configuration could only be written as the platform's JSON, nothing could be scraped, and no line of the log named a request. At level debug each attempt and each answer is a line with the request's id.

--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,154 @@
+// Package command is the sidecar's command line. Two programs have it: one with
+// metrics and one without, as what serves metrics makes a program grow by a quarter
+// whether it serves any or not.
+package command
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"barleywick/internal/cli"
+	"barleywick/internal/sidecar"
+)
+
+// Main carries the program's call out and ends it with the call's status. meter makes
+// what serves metrics; nil in a program that serves none.
+func Main(meter func() sidecar.Meter) {
+	os.Exit(run(meter, os.Args[1:], os.Getenv, os.Stdout, os.Stderr))
+}
+
+func run(meter func() sidecar.Meter, args []string, getenv func(string) string, out, errs io.Writer) int {
+	return cli.Run(context.Background(), "barleywick", newRoot(meter, getenv, out, errs), args, out, errs)
+}
+
+// newRoot makes the command tree. Without a command it serves, as the platform starts it.
+func newRoot(meter func() sidecar.Meter, getenv func(string) string, out, errs io.Writer) *cobra.Command {
+	var logs logFlags
+	serve := func(*cobra.Command, []string) error { return serve(meter, getenv, logs, errs) }
+	root := &cobra.Command{
+		Use:   "barleywick",
+		Short: "A client-side load balancer that runs beside one client",
+		Long: `barleywick carries the requests of the client beside it to booking servers.
+
+Without a command it does what serve does. ROUTER_CONFIG names the configuration
+file; ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY go before what it says.
+
+` + cli.Statuses,
+		Example: `  ROUTER_CONFIG=sidecar.json barleywick
+  barleywick check sidecar.json
+  barleywick completion bash > /etc/bash_completion.d/barleywick`,
+		Args: cli.NoArgs, RunE: serve,
+	}
+	logs.add(root)
+	root.AddCommand(
+		&cobra.Command{
+			Use: "serve", Short: "Serve until SIGTERM", Args: cli.NoArgs, RunE: serve,
+			Long: `serve carries requests until SIGTERM, then finishes what it has taken and ends.
+SIGHUP reads the configuration again: discovery, the limits on connections.`,
+			Example: "  ROUTER_CONFIG=sidecar.json ROUTER_LISTEN=127.0.0.1:7070 barleywick serve --log-format json",
+		},
+		&cobra.Command{
+			Use: "check [FILE]", Short: "Read a configuration and explain what follows from it", Args: cobra.MaximumNArgs(1),
+			Long: `check reads a configuration as serve does, starts nothing, and prints each figure
+that follows from it. FILE is the one that ROUTER_CONFIG names where it is left out.`,
+			Example: "  barleywick check sidecar.json",
+			RunE:    func(_ *cobra.Command, args []string) error { return check(getenv, args, out) },
+		},
+		cli.VersionCommand("barleywick"),
+	)
+	return root
+}
+
+// logFlags say how the program's own log is written.
+type logFlags struct{ level, format string }
+
+func (f *logFlags) add(c *cobra.Command) {
+	c.PersistentFlags().StringVar(&f.level, "log-level", "", "least level of the log: debug, info, warn or error (default: the configuration's, or info)")
+	c.PersistentFlags().StringVar(&f.format, "log-format", "", "form of the log: text or json (default: the configuration's, or text)")
+}
+
+// logger makes the log that the flags describe, and the file where they say nothing.
+func (f logFlags) logger(w io.Writer, file sidecar.FileLog) (*slog.Logger, error) {
+	var level slog.Level
+	if text := cmp.Or(f.level, file.Level, "info"); level.UnmarshalText([]byte(text)) != nil {
+		return nil, cli.WrongCall("log level is %q; there are debug, info, warn and error", text)
+	}
+	o := &slog.HandlerOptions{Level: level}
+	switch format := cmp.Or(f.format, file.Format, "text"); format {
+	case "text":
+		return slog.New(slog.NewTextHandler(w, o)), nil
+	case "json":
+		return slog.New(slog.NewJSONHandler(w, o)), nil
+	default:
+		return nil, cli.WrongCall("log format is %q; there are text and json", format)
+	}
+}
+
+func serve(meter func() sidecar.Meter, getenv func(string) string, logs logFlags, errs io.Writer) error {
+	log, err := logs.logger(errs, sidecar.FileLog{}) // for what there is to say of the file
+	if err != nil {
+		return err
+	}
+	slog.SetDefault(log)
+	stop, done := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer done()
+	// Unhandled, the signal that says 'read your configuration again' would end the program.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	c, err := sidecar.LoadConfig(getenv)
+	if err != nil {
+		return err
+	}
+	if log, err = logs.logger(errs, c.Log); err != nil {
+		return err
+	}
+	slog.SetDefault(log)
+	fit(c.Limits)
+	if c.Metrics.Listen != "" {
+		if meter == nil {
+			return errors.New("metrics.listen is set, and this program serves none: start barleywick-metered, which does")
+		}
+		c.Meter = meter()
+	}
+	return sidecar.Run(stop, reload, c)
+}
+
+// fit keeps the runtime within the platform's limits. The heap is small, so it
+// is collected rarely, but the memory limit is kept to with a quarter to spare.
+func fit(l sidecar.Limits) {
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(l.Cores)))
+	}
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(l.MemoryMB << 20 / 4 * 3)
+		debug.SetGCPercent(400)
+	}
+}
+
+// check explains a configuration.
+func check(getenv func(string) string, args []string, out io.Writer) error {
+	env := getenv
+	if len(args) == 1 {
+		env = func(name string) string {
+			if name == "ROUTER_CONFIG" {
+				return args[0]
+			}
+			return getenv(name)
+		}
+	}
+	c, err := sidecar.LoadConfig(env)
+	if err != nil {
+		return err
+	}
+	return c.Explain(out)
+}
--- a/cmd/barleywick/call_test.go
+++ b/internal/command/command_test.go
@@ -1,4 +1,4 @@
-package main
+package command
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 // call runs a call that ends by itself.
 func call(env map[string]string, args ...string) (status int, out, errs string) {
 	var o, e bytes.Buffer
-	status = run(args, func(name string) string { return env[name] }, &o, &e)
+	status = run(nil, args, func(name string) string { return env[name] }, &o, &e)
 	return status, o.String(), e.String()
 }
 
@@ -28,7 +28,7 @@
 		{[]string{"completion", "bash"}, cli.Done, ""},
 		{[]string{"swerve"}, cli.Wrong, "swerve"},
 		{[]string{"serve", "--fast"}, cli.Wrong, "--fast"},
-		{[]string{"serve", "--log-level", "loud"}, cli.Wrong, "--log-level"},
+		{[]string{"serve", "--log-level", "loud"}, cli.Wrong, "loud"},
 		{[]string{"serve", "--log-format", "xml"}, cli.Wrong, "xml"},
 		{[]string{"check", "a", "b"}, cli.Wrong, "at most 1"},
 		{[]string{"check", "/nonexistent/config.json"}, cli.Failed, "/nonexistent/config.json"},
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,141 @@
+// Package metrics serves a sidecar's figures in Prometheus' form. docs/METRICS.md
+// lists them.
+package metrics
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"barleywick/internal/sidecar"
+)
+
+const (
+	// stateIn is how long a scrape waits for the loop, which has requests to see to.
+	stateIn = time.Second
+	// scrapes at once are few: each holds the text of all figures.
+	scrapes = 4
+	callIn  = 5 * time.Second
+	maxHead = 8 << 10
+)
+
+// Metrics are one sidecar's figures.
+type Metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+// New makes the figures of a sidecar that starts.
+func New() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "barleywick_requests_total", Help: "Requests that have ended, by what their client got.",
+		}, []string{"class", "tenant", "outcome"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "barleywick_request_duration_seconds", Help: "Time from reading a request to its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14), // 1 ms to 8 s: deadlines are some seconds
+		}, []string{"class", "outcome"}),
+	}
+	m.registry.MustRegister(m.requests, m.latency, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// Answered takes a request's end.
+func (m *Metrics) Answered(class, tenant, outcome string, took time.Duration) {
+	m.requests.WithLabelValues(class, tenant, outcome).Inc()
+	m.latency.WithLabelValues(class, outcome).Observe(took.Seconds())
+}
+
+// Serve answers for metrics until ctx ends.
+func (m *Metrics) Serve(ctx context.Context, ln net.Listener, state func(context.Context) (sidecar.State, error)) error {
+	m.registry.MustRegister(&standing{ctx, state})
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: scrapes, ErrorHandling: promhttp.ContinueOnError}))
+	s := &http.Server{Handler: mux, ReadTimeout: callIn, WriteTimeout: callIn, IdleTimeout: callIn, MaxHeaderBytes: maxHead}
+	closed := context.AfterFunc(ctx, func() { _ = s.Close() }) // a scrape under way is of no use any more
+	defer closed()
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve metrics: %w", err)
+	}
+	return nil
+}
+
+// standing tells how the sidecar stands at the moment of a scrape.
+type standing struct {
+	ctx   context.Context // of the server
+	state func(context.Context) (sidecar.State, error)
+}
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("barleywick_"+name, help, labels, nil)
+}
+
+var (
+	descOpen    = desc("requests_open", "Requests that are held.")
+	descSlots   = desc("compartment_slots_free", "Free slots of a tenant's compartment.", "tenant")
+	descQueue   = desc("compartment_queue_free", "Free queue places of a tenant's compartment.", "tenant")
+	descServers = desc("servers", "Booking servers on the list.", "zone", "health")
+	descAge     = desc("list_age_seconds", "Time since the last news of the list.")
+	descDecided = desc("decisions_total", "What the decision module did, by its counters' names.", "what")
+	descConns   = desc("connections", "Connections, by side and state.", "side", "state")
+	descEvents  = desc("connection_events_total", "What was counted of connections, by side and by its counters' names.", "side", "what")
+	descState   = desc("state_read", "1 if the state was read for this scrape, 0 if the sidecar was too busy.")
+)
+
+// Describe names the figures.
+func (s *standing) Describe(c chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{descOpen, descSlots, descQueue, descServers, descAge, descDecided, descConns, descEvents, descState} {
+		c <- d
+	}
+}
+
+// Collect reads them.
+func (s *standing) Collect(c chan<- prometheus.Metric) {
+	ctx, cancel := context.WithTimeout(s.ctx, stateIn)
+	defer cancel()
+	state, err := s.state(ctx)
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		c <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	count := func(d *prometheus.Desc, v float64, labels ...string) {
+		c <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, v, labels...)
+	}
+	if err != nil {
+		gauge(descState, 0)
+		return
+	}
+	gauge(descState, 1)
+	gauge(descOpen, float64(state.Open))
+	gauge(descAge, state.ListAge.Seconds())
+	for _, k := range state.Compartments {
+		gauge(descSlots, float64(k.SlotsFree), k.Tenant)
+		gauge(descQueue, float64(k.QueueFree), k.Tenant)
+	}
+	for zone, byHealth := range state.Servers {
+		for health, n := range byHealth {
+			gauge(descServers, float64(n), zone, health)
+		}
+	}
+	for side, states := range map[string]map[string]float64{"clients": state.Clients, "servers": state.Upstreams} {
+		for name, n := range states {
+			gauge(descConns, n, side, name)
+		}
+	}
+	for side, events := range map[string]map[string]float64{"clients": state.ClientEvents, "servers": state.PoolEvents} {
+		for name, n := range events {
+			count(descEvents, n, side, name)
+		}
+	}
+	for what, n := range state.Decisions() {
+		count(descDecided, n, what)
+	}
+}
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,78 @@
+package metrics
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"barleywick/internal/sidecar"
+	"barleywick/policy"
+)
+
+func scrape(t *testing.T, addr string) string {
+	t.Helper()
+	resp, err := http.Get("http://" + addr + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("status %d, %v", resp.StatusCode, err)
+	}
+	return string(text)
+}
+
+func TestScrapeTellsWhatIsKnown(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var busy sync.Mutex
+	wrong := error(nil)
+	state := func(context.Context) (sidecar.State, error) {
+		busy.Lock()
+		defer busy.Unlock()
+		return sidecar.State{
+			Open: 3, ListAge: 2 * time.Second, Compartments: []sidecar.Compartment{{Tenant: "acme", SlotsFree: 4, QueueFree: 1}},
+			Servers: map[string]map[string]int{"a": {"up": 5, "draining": 1}}, Decided: policy.Counters{Shed: 9},
+			Clients: map[string]float64{"Open": 8}, PoolEvents: map[string]float64{"Reused": 7},
+		}, wrong
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	m := New()
+	ended := make(chan error, 1)
+	go func() { ended <- m.Serve(ctx, ln, state) }()
+	m.Answered("hold", "acme", "served", 3*time.Millisecond)
+	m.Answered("hold", "acme", "refused", time.Millisecond)
+	text := scrape(t, ln.Addr().String())
+	for _, want := range []string{
+		`barleywick_requests_total{class="hold",outcome="served",tenant="acme"} 1`,
+		`barleywick_request_duration_seconds_bucket{class="hold",outcome="served",le="0.004"} 1`,
+		`barleywick_request_duration_seconds_bucket{class="hold",outcome="served",le="0.002"} 0`,
+		`barleywick_compartment_slots_free{tenant="acme"} 4`, `barleywick_compartment_queue_free{tenant="acme"} 1`,
+		`barleywick_servers{health="up",zone="a"} 5`, `barleywick_list_age_seconds 2`, `barleywick_requests_open 3`,
+		`barleywick_decisions_total{what="Shed"} 9`, `barleywick_connections{side="clients",state="Open"} 8`,
+		`barleywick_connection_events_total{side="servers",what="Reused"} 7`, `barleywick_state_read 1`, "go_goroutines", "process_resident_memory_bytes",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %s in\n%s", want, text)
+		}
+	}
+	busy.Lock()
+	wrong = errors.New("too busy")
+	busy.Unlock()
+	if text := scrape(t, ln.Addr().String()); !strings.Contains(text, "barleywick_state_read 0") || strings.Contains(text, "barleywick_requests_open") || !strings.Contains(text, "barleywick_requests_total{") {
+		t.Errorf("while the sidecar is too busy:\n%s", text)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -199,6 +199,7 @@
 	}
 	return &request{
 		name: name, class: class, tenant: tenant, repeat: h.Get("Client-Retry") == "1", work: workHint(h), key: keyHash(h),
+		began:  arrival,
 		until:  arrival.Add(max(0, timeout-answerMargin)),
 		method: method, url: hr.URL, host: hr.Host, header: h, body: body,
 		answer: make(chan answer, 1),
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"slices"
@@ -13,6 +14,7 @@
 
 	"barleywick/internal/registry/client"
 	"barleywick/internal/settings"
+	"barleywick/internal/strict"
 	"barleywick/policy"
 )
 
@@ -36,6 +38,9 @@
 	ConnIdle    time.Duration    // upstreams close a connection that was idle this long
 	Connections connectionLimits // how many connections, on both sides
 	Takeover    *takeoverConfig  // how a new process takes this one's place; nil: it does not
+	Log         FileLog          // how the program's log is written
+	Metrics     FileMetrics      // where metrics are served; nowhere unless it says so
+	Meter       Meter            // what is told of them; nil: nothing is measured
 }
 
 // Limits are the platform's limits on this process.
@@ -84,13 +89,25 @@
 	if err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
 	}
-	c, err := parseConfig(text, fixed)
+	platform := text
+	if isPersons(path) {
+		if platform, err = platformForm(text, drawSeed); err != nil {
+			return nil, fmt.Errorf("configuration %s: %w", path, err)
+		}
+	}
+	c, err := parseConfig(platform, fixed)
 	if err != nil {
+		if isPersons(path) {
+			err = strict.AtLine(text, err)
+		}
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	return c, nil
 }
 
+// drawSeed is the seed of a sidecar that was given none.
+func drawSeed() string { return strconv.FormatUint(rand.Uint64(), 16) }
+
 // reload reads the file again and takes over what may change under way: where
 // discovery is and the limits on connections. The platform's limits are those of
 // the start. The environment is that of the start too, so here the file alone
@@ -146,6 +163,8 @@
 
 		Connections json.RawMessage `json:"connections"`
 		Takeover    json.RawMessage `json:"takeover"`
+		Log         FileLog         `json:"log"`
+		Metrics     FileMetrics     `json:"metrics"`
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, err
@@ -163,6 +182,7 @@
 	}
 	c := &Config{
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Replicas: f.Replicas, Limits: f.Limits, Known: parseKnown(f.Known),
+		Log: f.Log, Metrics: f.Metrics,
 		Policy:      p,
 		Classes:     s.Names("classes"),
 		Tenants:     s.Names("orgs"),
@@ -177,6 +197,11 @@
 	if slices.Contains(c.Classes, "") || slices.Contains(c.Tenants, "") {
 		return nil, fmt.Errorf("settings: a class or tenant has no name")
 	}
+	if addr := c.Metrics.Listen; addr != "" {
+		if a, err := netip.ParseAddrPort(addr); err != nil || !a.Addr().Unmap().IsLoopback() {
+			return nil, fmt.Errorf("metrics.listen is %.64q, a loopback address with a port is needed", addr)
+		}
+	}
 	if fixed != nil {
 		c.Limits = *fixed
 	}
@@ -184,7 +209,7 @@
 		c.Limits.Sockets = defaultSockets
 	}
 	if c.Limits.Sockets < leastSockets {
-		return nil, fmt.Errorf("limits: %d sockets, at least %d are needed", c.Limits.Sockets, leastSockets)
+		return nil, fmt.Errorf("limits.sockets is %d, at least %d are needed", c.Limits.Sockets, leastSockets)
 	}
 	if len(f.Takeover) > 0 {
 		c.Takeover = new(takeoverConfig)
--- a/internal/sidecar/explain.go
+++ b/internal/sidecar/explain.go
@@ -60,6 +60,9 @@
 		k.Total, k.PerAddress, k.HalfOpen, k.Idle, k.Waiting)
 	line("server connections", "connections.servers, limits.sockets", "%d; %d to one server; handshakes %d, %d to one server",
 		s.Total, s.PerServer, s.Handshakes, s.HandshakesPerServer)
+	if c.Metrics.Listen != "" {
+		line("metrics", "metrics.listen", "http://%s/metrics", c.Metrics.Listen)
+	}
 	if c.Takeover != nil {
 		line("take-over", "takeover", "a new process may take this one's place at %s", c.Takeover.Socket)
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -25,6 +25,7 @@
 	repeat bool
 	work   time.Duration // a guess at it; 0 where there is none
 	key    uint64        // a hash of what it concerns; 0 where that is not said
+	began  time.Time     // when it was read
 	until  time.Time     // when the client gives up
 	method string
 	url    *url.URL
@@ -124,6 +125,9 @@
 	end   context.CancelFunc
 	tasks sync.WaitGroup // attempts and probes under way
 
+	trace   bool          // each attempt and answer goes to the log
+	heardAt time.Duration // the last news of the list; 0: none yet
+
 	report func() // logs what else there is to tell with the module's counters; may be nil
 
 	begin time.Time
@@ -151,7 +155,7 @@
 	life, end := context.WithCancel(context.Background())
 	l := &loop{
 		life: life, end: end,
-		config: c, up: up, begin: time.Now(),
+		config: c, up: up, begin: time.Now(), trace: slog.Default().Enabled(life, slog.LevelDebug),
 		events: make(chan any, eventBacklog), asks: make(chan struct{}, 1), timer: time.NewTimer(time.Hour),
 		requests: make(map[policy.RequestID]*request), names: names{held: make(map[string]bool)},
 		hosts: make(map[string]*host), byID: make(map[policy.ServerID]*host), sites: make(map[string]int),
@@ -262,6 +266,7 @@
 	case left:
 		if r := e.req; r.id != 0 && !r.over {
 			l.close(r)
+			l.told(r, outcomeLeft)
 			l.b.ClientGone(l.now, r.id)
 		}
 	case ended:
@@ -271,6 +276,7 @@
 		p.done, p.ok, p.load = true, e.ok, e.load
 		l.probesDone(p.host)
 	case listed:
+		l.heardAt = l.now
 		kind := policy.ListDelta
 		if e.news.Whole {
 			kind = policy.ListFull
@@ -282,6 +288,8 @@
 		e.held <- l.b.Leave()
 	case beside:
 		l.b.Beside(l.now, e.held)
+	case asked:
+		e.state <- l.stand()
 	}
 }
 
@@ -314,6 +322,7 @@
 	if r := l.requests[id]; r != nil && !r.over {
 		l.close(r)
 		r.answer <- a
+		l.told(r, outcomeOf(a.status))
 	}
 }
 
@@ -325,6 +334,7 @@
 		l.drained(h)
 	}
 	r.timedOut = e.ending == policy.TimedOut
+	l.traceAttempt(a, e.ending)
 	if e.ending == policy.Served {
 		l.finish(r.id, *e.answer)
 	}
@@ -469,7 +479,7 @@
 	if r == nil {
 		return
 	}
-	a := &attempt{req: r, number: len(r.attempts)}
+	a := &attempt{req: r, number: len(r.attempts), began: time.Now()}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	until := r.until
--- /dev/null
+++ b/internal/sidecar/meter_test.go
@@ -0,0 +1,121 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"barleywick/internal/registry/registrytest"
+)
+
+// fakeMeter notes what it is told.
+type fakeMeter struct {
+	mu    sync.Mutex
+	ended []string
+	state chan func(context.Context) (State, error)
+}
+
+func (m *fakeMeter) Answered(class, tenant, outcome string, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if took <= 0 {
+		outcome += " in no time"
+	}
+	m.ended = append(m.ended, class+" "+tenant+" "+outcome)
+}
+
+func (m *fakeMeter) Serve(ctx context.Context, ln net.Listener, state func(context.Context) (State, error)) error {
+	m.state <- state
+	<-ctx.Done()
+	return ln.Close()
+}
+
+func TestMeterIsToldOfEachRequestOnce(t *testing.T) {
+	u := newUpstream(t, func(r received) (string, bool) {
+		if r.Header.Get("Request-Id") == "breaks" {
+			return "", true
+		}
+		return answer200("ok"), false
+	})
+	m := &fakeMeter{state: make(chan func(context.Context) (State, error), 1)}
+	c := testConfig(t, options{}, "127.0.0.1:1", registrytest.HostText("s-1", u.addr, "up", 0))
+	c.Meter, c.Metrics.Listen = m, "127.0.0.1:0"
+	addr, stop, ended := startSidecar(t, c)
+	state := await(t, "the meter", m.state)
+	for _, id := range []string{"one", "two", "breaks"} {
+		call{class: "once", id: id}.do(t, addr)
+	}
+	s, err := state(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	listed := 0
+	for _, zone := range s.Servers {
+		listed += zone["up"]
+	}
+	if s.Open != 0 || len(s.Compartments) == 0 || s.Compartments[0].SlotsFree == 0 || listed != 1 || s.Decisions()["Ordinary"] != 3 || s.ClientEvents["Accepted"] == 0 || s.PoolEvents["Opened"] == 0 {
+		t.Errorf("%+v", s)
+	}
+	stop()
+	if err := await(t, "the end", ended); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := state(t.Context()); err == nil {
+		t.Error("a sidecar that has ended tells its state")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if got := strings.Join(m.ended, ", "); !strings.HasPrefix(got, "once ") || strings.Count(got, "served") != 2 || strings.Count(got, "failed") != 1 || len(m.ended) != 3 || strings.Contains(got, "no time") {
+		t.Errorf("told of: %s", got)
+	}
+}
+
+// syncBuffer is a log that is written and read at once.
+type syncBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// A request can be followed through the log by its id, where the log is that fine.
+func TestEachLineAboutARequestHasItsID(t *testing.T) {
+	old := slog.Default()
+	defer slog.SetDefault(old)
+	log := new(syncBuffer)
+	slog.SetDefault(slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})))
+	u := newUpstream(t, always(answer200("ok")))
+	addr, stop, ended := startSidecar(t, testConfig(t, options{}, "127.0.0.1:1", registrytest.HostText("s-1", u.addr, "up", 0)))
+	call{class: "once", id: "follow-me"}.do(t, addr)
+	stop()
+	if err := await(t, "the end", ended); err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for line := range strings.Lines(log.String()) {
+		if strings.Contains(line, "request ended") || strings.Contains(line, "attempt ended") {
+			lines++
+			if !strings.Contains(line, "request=follow-me") {
+				t.Errorf("no id: %s", line)
+			}
+		}
+	}
+	if lines != 2 {
+		t.Errorf("%d lines about the request, want one for its attempt and one for its end:\n%s", lines, log)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -74,6 +74,13 @@
 		limited.report()
 		pool.report()
 	}
+	measure, err := meter(run, c, l, limited, pool)
+	if err != nil {
+		return err
+	}
+	if measure != nil {
+		loops.Go(measure)
+	}
 	loops.Go(func() { d.Follow(run) })
 	loops.Go(func() { l.run(run) })
 	loops.Go(func() { sweep(run, pool) })
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -41,6 +41,7 @@
 	host   *host           // the loop's; nil where it was never sent
 	ctx    context.Context // ends when the attempt is given up
 	cancel context.CancelFunc
+	began  time.Time
 }
 
 // answer is what a client gets.
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
 )
 
 // TOML reads text into v, which may hold defaults.
@@ -35,3 +36,56 @@
 }
 
 func oneLine(text string) string { return strings.Join(strings.Fields(text), " ") }
+
+// AtLine puts the line before an error that begins with a field's path, such as
+// 'limits.sockets is 3' or 'classes[1].name is missing', where the text has the field
+// or at least the table that it would stand in.
+func AtLine(text []byte, err error) error {
+	path, _, _ := strings.Cut(strings.TrimRight(err.Error(), " "), " ")
+	path = strings.TrimRight(path, ":,")
+	lines := fieldLines(text)
+	for path != "" {
+		if line, ok := lines[path]; ok {
+			return fmt.Errorf("line %d: %w", line, err)
+		}
+		cut := strings.LastIndexAny(path, ".[")
+		if cut < 0 {
+			break
+		}
+		path = path[:cut]
+	}
+	return err
+}
+
+// fieldLines finds the line of each field and table of a text that is known to be TOML.
+func fieldLines(text []byte) map[string]int {
+	lines := make(map[string]int)
+	counts := make(map[string]int) // of the elements of each array of tables
+	var parser unstable.Parser
+	parser.Reset(text)
+	prefix := ""
+	for parser.NextExpression() {
+		e := parser.Expression()
+		var names []string
+		line := 0
+		for keys := e.Key(); keys.Next(); {
+			names = append(names, string(keys.Node().Data))
+			if line == 0 {
+				line = parser.Shape(keys.Node().Raw).Start.Line
+			}
+		}
+		path := strings.Join(names, ".")
+		switch e.Kind {
+		case unstable.Table:
+			prefix = path + "."
+		case unstable.ArrayTable:
+			path = fmt.Sprintf("%s[%d]", path, counts[path])
+			counts[strings.Join(names, ".")]++
+			prefix = path + "."
+		case unstable.KeyValue:
+			path = prefix + path
+		}
+		lines[path] = line
+	}
+	return lines
+}
