Compare two built programs in simulated time, over the simulator's wire

An experiment could vary settings only. A variant may now name another build's adapter, which decides on the simulator's wire (internal/remote, the other end in internal/wire); the adapter itself moved to a package.

--- /dev/null
+++ b/internal/adapter/adapter.go
@@ -0,0 +1,291 @@
+// Package adapter plays the decision module on the simulator's wire: it hosts many
+// instances, each a policy.Balancer of its own. It decides nothing itself.
+package adapter
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"barleywick/internal/settings"
+	"barleywick/internal/wire"
+	"barleywick/policy"
+)
+
+// Serve answers batches until the input ends.
+func Serve(in io.Reader, out io.Writer) error {
+	h := newHost()
+	r := wire.NewReader(bufio.NewReaderSize(in, 1<<16))
+	for {
+		b, err := r.ReadBatch()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		h.reply.Begin(b.Number)
+		if err := h.batch(b); err != nil {
+			return fmt.Errorf("batch %d: %w", b.Number, err)
+		}
+		if _, err := out.Write(h.reply.Bytes()); err != nil {
+			return fmt.Errorf("write reply: %w", err)
+		}
+	}
+}
+
+// host holds the instances of this process and what they share: the numbered
+// lists of the wire and the reply under way.
+type host struct {
+	reply     wire.Reply
+	pages     map[uint16][]policy.Server
+	instances map[uint32]*instance
+}
+
+func newHost() *host {
+	return &host{pages: make(map[uint16][]policy.Server), instances: make(map[uint32]*instance)}
+}
+
+// instance is one sidecar; it carries out its Balancer's decisions.
+type instance struct {
+	host    *host
+	number  uint32
+	columns settings.Columns
+	b       *policy.Balancer
+	logAt   time.Duration // when the counters are written next
+}
+
+// logEvery is how often an instance's counters go to the log.
+const logEvery = 10 * time.Second
+
+func (i *instance) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+	i.host.reply.CallOut(i.number, uint32(id), wire.Upstream(to), timeout)
+}
+
+func (i *instance) Refuse(id policy.RequestID, pause time.Duration) {
+	i.host.reply.PushBack(i.number, uint32(id), pause)
+}
+
+func (i *instance) Fail(id policy.RequestID) { i.host.reply.Lose(i.number, uint32(id)) }
+
+func (i *instance) Cancel(id policy.RequestID, attempt int) {
+	i.host.reply.Recall(i.number, uint32(id), uint8(attempt))
+}
+
+func (i *instance) Wake(d time.Duration)     { i.host.reply.SetAlarm(i.number, d, 0) }
+func (i *instance) Probe(to policy.ServerID) { i.host.reply.Inspect(i.number, wire.Upstream(to)) }
+func (i *instance) WatchList()               { i.host.reply.Tail(i.number, true) }
+
+// batch hands the events of one batch to their instances, in order.
+func (h *host) batch(b wire.Batch) error {
+	body := b.Body
+	for range b.Records {
+		rec, rest, err := wire.Next(body)
+		if err != nil {
+			return err
+		}
+		body = rest
+		if err := h.record(b.Clock, rec); err != nil {
+			return err
+		}
+	}
+	if len(body) > 0 {
+		return fmt.Errorf("%d bytes behind the last record", len(body))
+	}
+	return nil
+}
+
+func (h *host) record(now time.Duration, rec wire.Record) error {
+	switch rec.Code {
+	case wire.EvManifest:
+		page, entries, err := rec.Manifest()
+		if err != nil {
+			return err
+		}
+		h.pages[page] = servers(entries)
+		return nil
+	case wire.EvOpenInstance, wire.EvCrashNow, wire.EvFleet, wire.EvAsk, wire.EvFinished, wire.EvWake,
+		wire.EvClientLeft, wire.EvHeaders, wire.EvCheckResult:
+	default:
+		return nil // a code of a later version, or one that the module has no use for
+	}
+	number, err := rec.Instance()
+	if err != nil {
+		return err
+	}
+	switch rec.Code {
+	case wire.EvOpenInstance:
+		return h.open(now, number, rec)
+	case wire.EvCrashNow:
+		delete(h.instances, number)
+		return nil
+	}
+	i := h.instances[number]
+	if i == nil || i.b == nil {
+		return nil // not running: nothing may be done for it
+	}
+	return i.event(now, rec)
+}
+
+// open starts an instance anew.
+func (h *host) open(now time.Duration, number uint32, rec wire.Record) error {
+	seed, info, err := rec.OpenInstance()
+	if err != nil {
+		return err
+	}
+	s, err := settings.Parse(info)
+	if err != nil {
+		return fmt.Errorf("instance %d: %w", number, err)
+	}
+	config, err := s.Config()
+	if err != nil {
+		return fmt.Errorf("instance %d: %w", number, err)
+	}
+	i := &instance{host: h, number: number, columns: s.Columns()}
+	h.instances[number] = i
+	return i.guard(func() error {
+		b, err := policy.New(config, seed, i)
+		if err != nil {
+			return fmt.Errorf("instance %d: %w", number, err)
+		}
+		i.b = b
+		b.Start(now)
+		return nil
+	})
+}
+
+// guard reports a panic in the module with the wire's own fault action.
+func (i *instance) guard(f func() error) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			i.host.reply.Die(i.number, fmt.Sprintf("panic: %v", p))
+			i.b = nil
+		}
+	}()
+	return f()
+}
+
+// event hands one event to the instance's Balancer.
+func (i *instance) event(now time.Duration, rec wire.Record) error {
+	if now >= i.logAt {
+		if i.logAt > 0 { // not at the first event: there is nothing to tell yet
+			i.host.reply.WriteLog(i.number, fmt.Sprintf("counters %+v", i.b.Counters()))
+		}
+		i.logAt = now + logEvery
+	}
+	return i.guard(func() error { return i.dispatch(now, rec) })
+}
+
+func (i *instance) dispatch(now time.Duration, rec wire.Record) error {
+	switch rec.Code {
+	case wire.EvAsk:
+		a, err := rec.Ask()
+		if err != nil {
+			return err
+		}
+		r := policy.Request{ID: policy.RequestID(a.Job), Class: int(a.Kind), Tenant: int(a.Tenant), Left: a.Left, Key: a.Key}
+		r.Repeat = a.Bits&wire.BitRepeat != 0
+		if a.Bits&wire.BitHint != 0 {
+			r.Work = a.Hint
+		}
+		i.b.Request(now, r)
+	case wire.EvFinished:
+		f, err := rec.Finished()
+		if err != nil {
+			return err
+		}
+		i.b.Outcome(now, policy.Outcome{
+			ID: policy.RequestID(f.Job), Attempt: int(f.Hop), Ending: ending(f.Ending), Settled: f.Settled,
+		})
+	case wire.EvWake:
+		i.b.Wake(now)
+	case wire.EvClientLeft:
+		job, err := rec.Job()
+		if err != nil {
+			return err
+		}
+		i.b.ClientGone(now, policy.RequestID(job))
+	case wire.EvHeaders:
+		job, err := rec.Job()
+		if err != nil {
+			return err
+		}
+		i.b.StreamBegun(policy.RequestID(job))
+	case wire.EvCheckResult:
+		up, end, report, err := rec.CheckResult()
+		if err != nil {
+			return err
+		}
+		i.b.Probed(now, policy.ServerID(up), end == wire.EndServed, i.columns.Load(report.Value))
+	case wire.EvFleet:
+		kind, _, page, err := rec.Fleet()
+		if err != nil {
+			return err
+		}
+		return i.fleet(now, kind, page)
+	}
+	return nil
+}
+
+func (i *instance) fleet(now time.Duration, kind uint8, page uint16) error {
+	var k policy.ListKind
+	switch kind {
+	case wire.FleetFull:
+		k = policy.ListFull
+	case wire.FleetDelta:
+		k = policy.ListDelta
+	case wire.FleetCached:
+		k = policy.ListCached
+	case wire.FleetFailed:
+		i.b.List(now, policy.ListFailed, nil)
+		return nil
+	default:
+		return nil // a kind of a later version
+	}
+	list, ok := i.host.pages[page]
+	if !ok {
+		return fmt.Errorf("instance %d: list %d was never sent", i.number, page)
+	}
+	i.b.List(now, k, list)
+	return nil
+}
+
+func ending(code uint16) policy.Ending {
+	switch code {
+	case wire.EndServed:
+		return policy.Served
+	case wire.EndTurnedAway:
+		return policy.TurnedAway
+	case wire.EndTimedOut:
+		return policy.TimedOut
+	case wire.EndNoConnection:
+		return policy.NoConnection
+	case wire.EndBroken:
+		return policy.Broken
+	case wire.EndCancelled:
+		return policy.Cancelled
+	case wire.EndNotSent:
+		return policy.NotSent
+	}
+	return policy.Errored // it may have run, as may whatever is not known
+}
+
+func servers(entries []wire.Entry) []policy.Server {
+	list := make([]policy.Server, len(entries))
+	for i, e := range entries {
+		list[i] = policy.Server{
+			ID: policy.ServerID(e.Upstream), Zone: int(e.Area), Cell: int(e.Cohort), Weight: e.Rating, Started: e.Boot,
+		}
+		switch e.Status {
+		case wire.StateReady:
+			list[i].State = policy.Ready
+		case wire.StateGone:
+			list[i].State = policy.Gone
+		default:
+			list[i].State = policy.Draining // nothing new, whatever it is
+		}
+	}
+	return list
+}
--- a/cmd/adapter/main_test.go
+++ b/internal/adapter/adapter_test.go
@@ -1,4 +1,4 @@
-package main
+package adapter
 
 import (
 	"bytes"
@@ -83,7 +83,7 @@
 func actions(t *testing.T, in []byte) []action {
 	t.Helper()
 	var out bytes.Buffer
-	if err := serve(bytes.NewReader(in), &out); err != nil {
+	if err := Serve(bytes.NewReader(in), &out); err != nil {
 		t.Fatal(err)
 	}
 	var all []action
@@ -110,7 +110,7 @@
 
 func TestEmptyBatchesAndEndOfInput(t *testing.T) {
 	var out bytes.Buffer
-	if err := serve(bytes.NewReader(slices.Concat(batch(1, 0), batch(2, 5))), &out); err != nil || out.Len() != 24 {
+	if err := Serve(bytes.NewReader(slices.Concat(batch(1, 0), batch(2, 5))), &out); err != nil || out.Len() != 24 {
 		t.Fatalf("%d bytes, error %v; want two empty replies", out.Len(), err)
 	}
 }
@@ -188,7 +188,7 @@
 		"settings without sign": batch(1, 0, record(wire.EvOpenInstance, uint32(1), uint64(1), uint32(3), "abc")),
 		"bytes left over":       append(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, 1), 3), 0, 0, 0, 0, 1, 2, 3),
 	} {
-		err := serve(bytes.NewReader(in), io.Discard)
+		err := Serve(bytes.NewReader(in), io.Discard)
 		if err == nil || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: error %v, want one plain line", name, err)
 		}
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -23,13 +23,20 @@
 	List(now time.Duration, kind policy.ListKind, entries []policy.Server)
 }
 
+// Begin is what a Decider is made from, at one start of a sidecar.
+type Begin struct {
+	Scenario *Scenario
+	Sidecar  int
+	Config   policy.Config
+	Seed     uint64
+	Host     policy.Host
+}
+
 // Make makes the Decider of one start of a sidecar.
-type Make func(cfg policy.Config, seed uint64, host policy.Host) (Decider, error)
+type Make func(Begin) (Decider, error)
 
 // Balancer is the real one.
-func Balancer(cfg policy.Config, seed uint64, host policy.Host) (Decider, error) {
-	return policy.New(cfg, seed, host)
-}
+func Balancer(b Begin) (Decider, error) { return policy.New(b.Config, b.Seed, b.Host) }
 
 // Sim plays a scenario in simulated time. All of it runs in the caller's goroutine;
 // what happens follows from scenario, seed and Decider alone.
@@ -341,7 +348,7 @@
 	s := n.sim
 	n.epoch++
 	n.open = make(map[policy.RequestID]*request)
-	b, err := s.make(s.sc.Policy(n.zone), s.seed^uint64(n.index)<<32^uint64(n.epoch)<<8, n)
+	b, err := s.make(Begin{s.sc, n.index, s.sc.Policy(n.zone), s.seed ^ uint64(n.index)<<32 ^ uint64(n.epoch)<<8, n})
 	if err != nil {
 		s.failure = fmt.Errorf("sidecar %d: %w", n.index, err)
 		return
@@ -630,7 +637,7 @@
 		r := sv.Probe(s.now)
 		s.touch(sv)
 		n.mine(way, func() {
-			n.b.Probed(s.now, to, true, policy.Load{InFlight: -1, Waiting: r.Queue, Busy: r.Busy, Rate: r.Rate})
+			n.b.Probed(s.now, to, true, policy.Load{InFlight: -1, Waiting: r.Queue, Busy: float64(float32(r.Busy)), Rate: float64(float32(r.Rate))})
 		})
 	})
 }
@@ -685,5 +692,7 @@
 	return kept
 }
 
-// weight is a machine's size as the list has it: roughly right.
-func weight(sv *Server) float64 { return cmp.Or(math.Round(sv.Kind.capacity()*10)/10, 1) }
+// weight is a machine's size as the list has it: roughly right, and as precise as the wire.
+func weight(sv *Server) float64 {
+	return float64(float32(cmp.Or(math.Round(sv.Kind.capacity()*10)/10, 1)))
+}
--- a/internal/emulator/sim_test.go
+++ b/internal/emulator/sim_test.go
@@ -123,11 +123,11 @@
 
 // meddling makes modules that are meddled with.
 func meddling(meddle func(*meddler)) Make {
-	return func(cfg policy.Config, seed uint64, host policy.Host) (Decider, error) {
-		m := &meddler{Host: host, classes: make(map[policy.RequestID]int)}
+	return func(b Begin) (Decider, error) {
+		m := &meddler{Host: b.Host, classes: make(map[policy.RequestID]int)}
 		meddle(m)
 		var err error
-		m.Balancer, err = policy.New(cfg, seed, m)
+		m.Balancer, err = policy.New(b.Config, b.Seed, m)
 		return decider{m}, err
 	}
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -22,6 +22,7 @@
 	"gonum.org/v1/gonum/stat"
 
 	"barleywick/internal/emulator"
+	"barleywick/internal/remote"
 	"barleywick/internal/strict"
 )
 
@@ -42,6 +43,9 @@
 type Variant struct {
 	Name string         `toml:"name"`
 	Set  map[string]any `toml:"set"` // what it changes in each scenario, as a scenario file would
+	// Adapter is the program of a build that decides in place of this one's module,
+	// on the simulator's wire; empty: this one's.
+	Adapter string `toml:"adapter"`
 }
 
 const (
@@ -100,7 +104,11 @@
 			return nil, fmt.Errorf("scenarios: %s: %w", name, err)
 		}
 		p.scenarios = append(p.scenarios, sc)
-		for _, v := range p.Variants {
+		for i := range p.Variants {
+			v := &p.Variants[i]
+			if v.Adapter != "" && !filepath.IsAbs(v.Adapter) {
+				v.Adapter = filepath.Join(folder, v.Adapter)
+			}
 			if _, err := v.apply(sc); err != nil {
 				return nil, fmt.Errorf("variants: %s: %w", v.Name, err)
 			}
@@ -227,11 +235,7 @@
 			if err != nil {
 				return err
 			}
-			s, err := emulator.NewSim(changed, seed, emulator.Balancer)
-			if err != nil {
-				return err
-			}
-			r, err := s.Run(inner)
+			r, err := v.play(inner, changed, seed)
 			if inner.Err() != nil {
 				return nil
 			}
@@ -261,6 +265,30 @@
 	return o, nil
 }
 
+// play plays one day, with an adapter of its own where the variant names one.
+func (v Variant) play(ctx context.Context, sc *emulator.Scenario, seed uint64) (*emulator.Record, error) {
+	if v.Adapter != "" {
+		a, err := remote.Start(ctx, v.Adapter)
+		if err != nil {
+			return nil, err
+		}
+		r, err := run(ctx, sc, seed, a.Make)
+		if wrong := a.Close(); wrong != nil {
+			return nil, wrong // a day that an adapter failed on is none, whatever came of it
+		}
+		return r, err
+	}
+	return run(ctx, sc, seed, emulator.Balancer)
+}
+
+func run(ctx context.Context, sc *emulator.Scenario, seed uint64, decide emulator.Make) (*emulator.Record, error) {
+	s, err := emulator.NewSim(sc, seed, decide)
+	if err != nil {
+		return nil, err
+	}
+	return s.Run(ctx)
+}
+
 // compare pairs the variants' days with the first's by scenario and seed.
 func (p *Plan) compare(runs []Run) (differences []Difference) {
 	type day struct {
--- /dev/null
+++ b/internal/remote/remote.go
@@ -0,0 +1,306 @@
+// Package remote lets the emulator ask another program what to decide: an adapter,
+// ours or an earlier build's, that plays decision modules on the simulator's wire.
+// So two built programs can be compared in simulated time on the same days.
+package remote
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"syscall"
+	"time"
+
+	"barleywick/internal/emulator"
+	"barleywick/internal/settings"
+	"barleywick/internal/wire"
+	"barleywick/policy"
+)
+
+// Adapter is a program on the other end of the wire. One day at a time is played with
+// it. It is not safe for concurrent use.
+type Adapter struct {
+	out    io.Writer
+	in     *wire.Reader
+	events wire.Events
+	number uint32
+	err    error // the first thing that went wrong; nothing is asked after it
+	alive  map[uint32]bool
+	end    func() error
+}
+
+// endIn is how long a program may take to end once its input has.
+const endIn = 5 * time.Second
+
+// Start starts an adapter's program. It ends with Close, or when ctx does.
+func Start(ctx context.Context, program string) (*Adapter, error) {
+	cmd := exec.CommandContext(ctx, program)
+	cmd.Stderr = os.Stderr
+	cmd.WaitDelay = endIn
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it never outlives its user
+	out, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, fmt.Errorf("adapter %s: %w", program, err)
+	}
+	in, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, fmt.Errorf("adapter %s: %w", program, err)
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("adapter %s: %w", program, err)
+	}
+	a := New(out, in)
+	a.end = func() error {
+		out.Close()
+		if err := cmd.Wait(); err != nil {
+			return fmt.Errorf("adapter %s: %w", program, err)
+		}
+		return nil
+	}
+	return a, nil
+}
+
+// New speaks with an adapter over a pair of streams.
+func New(out io.Writer, in io.Reader) *Adapter {
+	return &Adapter{out: out, in: wire.NewReader(bufio.NewReaderSize(in, 1<<16)), alive: make(map[uint32]bool)}
+}
+
+// Close ends the adapter, and returns the first thing that went wrong with it.
+func (a *Adapter) Close() error {
+	if a.end == nil {
+		return a.err
+	}
+	end := a.end
+	a.end = nil
+	err := end()
+	if a.err != nil {
+		return a.err // which may be why it ended as it did
+	}
+	return err
+}
+
+// Err is the first thing that went wrong.
+func (a *Adapter) Err() error { return a.err }
+
+// Make makes a Decider that asks the adapter.
+func (a *Adapter) Make(b emulator.Begin) (emulator.Decider, error) {
+	if b.Config.Slots > 0 {
+		return nil, errors.New("slots cannot be said on the simulator's wire: only a module of this program can be given them")
+	}
+	text, err := json.Marshal(b.Scenario.Settings(b.Sidecar))
+	if err != nil {
+		return nil, err
+	}
+	s, err := settings.ParseJSON(text)
+	if err != nil {
+		return nil, err
+	}
+	return &instance{a: a, number: uint32(b.Sidecar), host: b.Host, seed: b.Seed, info: s.Text(), tries: make(map[uint32]*tries)}, a.err
+}
+
+// instance is one start of a sidecar.
+type instance struct {
+	a      *Adapter
+	number uint32
+	host   policy.Host
+	seed   uint64
+	info   []byte
+	list   uint32 // its version
+	tries  map[uint32]*tries
+}
+
+// tries are what the wire says again of a request's attempts.
+type tries struct {
+	to    []wire.Upstream
+	at    []time.Duration
+	ended int
+	over  bool
+}
+
+// batch sends one event and carries out the actions that come back.
+func (i *instance) batch(now time.Duration, write func(*wire.Events)) {
+	a := i.a
+	if a.err != nil {
+		return
+	}
+	a.number++
+	a.events.Begin(a.number, now)
+	write(&a.events)
+	if _, err := a.out.Write(a.events.Bytes()); err != nil {
+		a.err = fmt.Errorf("adapter: %w", err)
+		return
+	}
+	answer, err := a.in.ReadAnswer()
+	switch {
+	case errors.Is(err, io.EOF):
+		a.err = errors.New("adapter: it ended")
+		return
+	case err != nil:
+		a.err = fmt.Errorf("adapter: %w", err)
+		return
+	case answer.Number != a.number:
+		a.err = fmt.Errorf("adapter: answers batch %d with the number %d", a.number, answer.Number)
+		return
+	}
+	body := answer.Body
+	for range answer.Records {
+		var record wire.Record
+		if record, body, err = wire.Next(body); err == nil {
+			var act wire.Action
+			if act, err = record.Action(); err == nil {
+				err = i.act(now, act)
+			}
+		}
+		if err != nil {
+			a.err = fmt.Errorf("adapter: %w", err)
+			return
+		}
+	}
+}
+
+// act carries an action out.
+func (i *instance) act(now time.Duration, a wire.Action) error {
+	if a.Inst != i.number {
+		return fmt.Errorf("an action for instance %d without an event for it", a.Inst)
+	}
+	t := i.tries[a.Job]
+	switch a.Code {
+	case wire.ActCallOut, wire.ActRecall:
+		if t == nil {
+			return fmt.Errorf("action %d for request %d, which is not known", a.Code, a.Job)
+		}
+	case wire.ActPushBack, wire.ActLose:
+		if t == nil {
+			return nil // ended a moment ago, which the wire forgives
+		}
+	}
+	switch a.Code {
+	case wire.ActCallOut:
+		t.to, t.at = append(t.to, a.To), append(t.at, now)
+		patience := a.Time
+		if patience == 0 {
+			patience = time.Hour // until the client gives up
+		}
+		i.host.Send(policy.RequestID(a.Job), policy.ServerID(a.To), patience)
+	case wire.ActPushBack:
+		t.over = true
+		i.host.Refuse(policy.RequestID(a.Job), a.Time)
+		i.forget(a.Job)
+	case wire.ActLose:
+		t.over = true
+		i.host.Fail(policy.RequestID(a.Job))
+		i.forget(a.Job)
+	case wire.ActRecall:
+		i.host.Cancel(policy.RequestID(a.Job), int(a.Hop))
+	case wire.ActSetAlarm:
+		i.host.Wake(a.Time)
+	case wire.ActInspect:
+		i.host.Probe(policy.ServerID(a.To))
+	case wire.ActTail:
+		if a.On {
+			i.host.WatchList()
+		}
+	case wire.ActDie:
+		return fmt.Errorf("the decision code has failed: %.200s", a.Text)
+	}
+	return nil // a log line, or what a later version says
+}
+
+// forget lets go of a request that is over and has no attempt out.
+func (i *instance) forget(job uint32) {
+	if t := i.tries[job]; t != nil && t.over && t.ended == len(t.to) {
+		delete(i.tries, job)
+	}
+}
+
+// Start opens the instance; one that was open under its number is dead.
+func (i *instance) Start(now time.Duration) {
+	i.batch(now, func(e *wire.Events) {
+		if i.a.alive[i.number] {
+			e.CrashNow(i.number)
+		}
+		i.a.alive[i.number] = true
+		e.OpenInstance(i.number, i.seed, i.info)
+	})
+}
+
+// Request brings a request.
+func (i *instance) Request(now time.Duration, q policy.Request) {
+	job := uint32(q.ID)
+	i.tries[job] = &tries{}
+	ask := wire.Ask{Job: job, Key: q.Key, Tenant: uint32(q.Tenant), Left: q.Left, Hint: q.Work, Kind: uint8(q.Class)}
+	if q.Work > 0 {
+		ask.Bits |= wire.BitHint
+	}
+	if q.Repeat {
+		ask.Bits |= wire.BitRepeat
+	}
+	i.batch(now, func(e *wire.Events) { e.Ask(i.number, ask) })
+}
+
+// endings are the module's endings as the wire has them.
+var endings = map[policy.Ending]uint16{
+	policy.Served: wire.EndServed, policy.Errored: wire.EndErrored, policy.TurnedAway: wire.EndTurnedAway, policy.TimedOut: wire.EndTimedOut,
+	policy.NoConnection: wire.EndNoConnection, policy.Broken: wire.EndBroken, policy.Cancelled: wire.EndCancelled, policy.NotSent: wire.EndNotSent,
+}
+
+// Outcome tells of an attempt's end.
+func (i *instance) Outcome(now time.Duration, o policy.Outcome) {
+	job := uint32(o.ID)
+	f := wire.Finished{Job: job, Hop: uint8(o.Attempt), Ending: endings[o.Ending], Settled: o.Settled}
+	if t := i.tries[job]; t != nil && o.Attempt < len(t.to) {
+		f.Upstream, f.Took = t.to[o.Attempt], now-t.at[o.Attempt]
+		t.ended++
+		t.over = t.over || o.Settled
+	}
+	i.batch(now, func(e *wire.Events) { e.Finished(i.number, f) })
+	i.forget(job)
+}
+
+// ClientGone tells that a client has left.
+func (i *instance) ClientGone(now time.Duration, id policy.RequestID) {
+	if t := i.tries[uint32(id)]; t != nil {
+		t.over = true
+	}
+	i.batch(now, func(e *wire.Events) { e.ClientLeft(i.number, uint32(id)) })
+	i.forget(uint32(id))
+}
+
+// Wake tells that a timer is due.
+func (i *instance) Wake(now time.Duration) {
+	i.batch(now, func(e *wire.Events) { e.Wake(i.number, 0) })
+}
+
+// Probed tells of a probe's end.
+func (i *instance) Probed(now time.Duration, id policy.ServerID, ok bool, l policy.Load) {
+	ending, report := uint16(wire.EndNoConnection), wire.Report{}
+	if ok {
+		ending = wire.EndServed
+		report = wire.Report{N: 3, Values: [4]float32{float32(l.Waiting), float32(l.Busy), float32(l.Rate)}} // as Settings names the columns
+	}
+	i.batch(now, func(e *wire.Events) { e.CheckResult(i.number, wire.Upstream(id), ending, 0, report) })
+}
+
+// List tells news of the server list.
+func (i *instance) List(now time.Duration, kind policy.ListKind, servers []policy.Server) {
+	states := map[policy.State]uint8{policy.Gone: wire.StateGone, policy.Draining: wire.StateDraining, policy.Ready: wire.StateReady}
+	entries := make([]wire.Entry, len(servers))
+	for n, s := range servers {
+		entries[n] = wire.Entry{
+			Upstream: wire.Upstream(s.ID), Area: uint8(s.Zone), Cohort: uint16(s.Cell), Status: states[s.State], Rating: s.Weight, Boot: s.Started,
+		}
+	}
+	i.list++
+	i.batch(now, func(e *wire.Events) {
+		if kind != policy.ListFailed {
+			e.Manifest(0, entries)
+		}
+		e.Fleet(i.number, map[policy.ListKind]uint8{
+			policy.ListFull: wire.FleetFull, policy.ListDelta: wire.FleetDelta, policy.ListCached: wire.FleetCached, policy.ListFailed: wire.FleetFailed,
+		}[kind], i.list, 0)
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -71,6 +72,16 @@
 	return s, nil
 }
 
+// Text is the settings in the simulator's form, sorted: what Parse reads. Spaces
+// and commas inside a value cannot be told apart from those between values.
+func (s *Settings) Text() []byte {
+	var out bytes.Buffer
+	for _, key := range slices.Sorted(maps.Keys(s.values)) {
+		fmt.Fprintf(&out, "%s=%s\n", key, strings.ReplaceAll(s.values[key], " ", "_"))
+	}
+	return out.Bytes()
+}
+
 func (s *Settings) flatten(path string, v any) {
 	switch v := v.(type) {
 	case nil:
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -129,10 +129,19 @@
 	if uint64(b.Records)*recordHeadLen > uint64(size) {
 		return Batch{}, fmt.Errorf("batch %d: %d records cannot fit into %d bytes", b.Number, b.Records, size)
 	}
-	// The buffer grows with what really arrives, so that a wrong length in a
-	// short stream does not make a large allocation.
+	body, err := r.body(int(size))
+	if err != nil {
+		return Batch{}, fmt.Errorf("batch %d: %w", b.Number, err)
+	}
+	b.Body = body
+	return b, nil
+}
+
+// body reads the rest of a frame. The buffer grows with what really arrives, so that
+// a wrong length in a short stream does not make a large allocation.
+func (r *Reader) body(size int) ([]byte, error) {
 	r.buf = r.buf[:0]
-	for left := int(size); left > 0; {
+	for left := size; left > 0; {
 		n := min(left, max(chunk, cap(r.buf)-len(r.buf)))
 		at := len(r.buf)
 		if cap(r.buf)-at < n {
@@ -144,12 +153,11 @@
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
-			return Batch{}, fmt.Errorf("batch %d: read body: %w", b.Number, err)
+			return nil, fmt.Errorf("read body: %w", err)
 		}
 		left -= n
 	}
-	b.Body = r.buf
-	return b, nil
+	return r.buf, nil
 }
 
 // Record is one record of a batch: its code and its fields.
@@ -388,12 +396,15 @@
 	return v, c.done(r.Code)
 }
 
-// Reply gathers the actions that answer one batch.
-type Reply struct {
+// records gathers the records of a frame.
+type records struct {
 	buf   []byte
 	count uint32
 }
 
+// Reply gathers the actions that answer one batch.
+type Reply struct{ records }
+
 // Begin empties the reply and starts one for the batch of that number.
 func (p *Reply) Begin(number uint32) {
 	p.buf = append(p.buf[:0], make([]byte, replyHeaderLen)...)
@@ -408,28 +419,38 @@
 	return p.buf
 }
 
-func (p *Reply) head(code uint16, size int, inst uint32) {
+func (p *records) head(code uint16, size int, inst uint32) {
 	p.count++
-	p.buf = binary.LittleEndian.AppendUint16(p.buf, code)
-	p.buf = binary.LittleEndian.AppendUint32(p.buf, uint32(size))
+	p.u16(code)
+	p.u32(uint32(size))
 	p.u32(inst)
 }
 
-func (p *Reply) u32(v uint32)  { p.buf = binary.LittleEndian.AppendUint32(p.buf, v) }
-func (p *Reply) u64(v uint64)  { p.buf = binary.LittleEndian.AppendUint64(p.buf, v) }
-func (p *Reply) f64(v float64) { p.u64(math.Float64bits(v)) }
+func (p *records) u8(v uint8)    { p.buf = append(p.buf, v) }
+func (p *records) u16(v uint16)  { p.buf = binary.LittleEndian.AppendUint16(p.buf, v) }
+func (p *records) u32(v uint32)  { p.buf = binary.LittleEndian.AppendUint32(p.buf, v) }
+func (p *records) u64(v uint64)  { p.buf = binary.LittleEndian.AppendUint64(p.buf, v) }
+func (p *records) f64(v float64) { p.u64(math.Float64bits(v)) }
 
-func (p *Reply) addr(u Upstream) {
+func (p *records) flag(on bool) {
+	if on {
+		p.u8(1)
+	} else {
+		p.u8(0)
+	}
+}
+
+func (p *records) addr(u Upstream) {
 	for range 6 {
-		p.buf = append(p.buf, byte(u))
+		p.u8(byte(u))
 		u >>= 8
 	}
 }
 
-func (p *Reply) text(code uint16, inst uint32, s string) {
+func (p *records) text(code uint16, inst uint32, s string) {
 	s = s[:min(len(s), math.MaxUint16)]
 	p.head(code, 6+len(s), inst)
-	p.buf = binary.LittleEndian.AppendUint16(p.buf, uint16(len(s)))
+	p.u16(uint16(len(s)))
 	p.buf = append(p.buf, s...)
 }
 
@@ -471,17 +492,13 @@
 func (p *Reply) Recall(inst, job uint32, hop uint8) {
 	p.head(ActRecall, 9, inst)
 	p.u32(job)
-	p.buf = append(p.buf, hop)
+	p.u8(hop)
 }
 
 // Tail subscribes to the server list, or ends the subscription.
 func (p *Reply) Tail(inst uint32, on bool) {
 	p.head(ActTail, 5, inst)
-	b := byte(0)
-	if on {
-		b = 1
-	}
-	p.buf = append(p.buf, b)
+	p.flag(on)
 }
 
 // WriteLog writes a line for the report.
--- /dev/null
+++ b/internal/wire/world.go
@@ -0,0 +1,186 @@
+package wire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"time"
+
+	"barleywick/internal/settings"
+)
+
+// The simulator's end of the wire: events are written and actions read.
+
+// Events gathers the events of one batch.
+type Events struct{ records }
+
+// Begin empties the batch and starts one of that number and time.
+func (e *Events) Begin(number uint32, clock time.Duration) {
+	e.buf = append(e.buf[:0], make([]byte, batchHeaderLen)...)
+	le := binary.LittleEndian
+	le.PutUint32(e.buf, number)
+	le.PutUint64(e.buf[12:], math.Float64bits(ToMillis(clock)))
+	e.count = 0
+}
+
+// Bytes completes the frame; it stays valid until the next Begin.
+func (e *Events) Bytes() []byte {
+	binary.LittleEndian.PutUint32(e.buf[4:], e.count)
+	binary.LittleEndian.PutUint32(e.buf[8:], uint32(len(e.buf)-batchHeaderLen))
+	return e.buf
+}
+
+// OpenInstance starts an instance.
+func (e *Events) OpenInstance(inst uint32, seed uint64, info []byte) {
+	e.head(EvOpenInstance, 16+len(info), inst)
+	e.u64(seed)
+	e.u32(uint32(len(info)))
+	e.buf = append(e.buf, info...)
+}
+
+// CrashNow ends one.
+func (e *Events) CrashNow(inst uint32) { e.head(EvCrashNow, 4, inst) }
+
+// Manifest gives a list a number. It belongs to no instance.
+func (e *Events) Manifest(page uint16, entries []Entry) {
+	e.count++
+	e.u16(EvManifest)
+	e.u32(uint32(6 + entryLen*len(entries)))
+	e.u16(page)
+	e.u32(uint32(len(entries)))
+	for _, x := range entries {
+		e.addr(x.Upstream)
+		e.u8(x.Area)
+		e.u8(x.Family)
+		e.u16(x.Cohort)
+		e.u8(x.Status)
+		e.u32(math.Float32bits(float32(x.Rating)))
+		e.f64(ToMillis(x.Boot))
+	}
+}
+
+// Fleet tells an instance of a list.
+func (e *Events) Fleet(inst uint32, kind uint8, version uint32, page uint16) {
+	e.head(EvFleet, 11, inst)
+	e.u8(kind)
+	e.u32(version)
+	e.u16(page)
+}
+
+// Ask brings a request.
+func (e *Events) Ask(inst uint32, a Ask) {
+	e.head(EvAsk, 39, inst)
+	e.u32(a.Job)
+	e.u16(a.Bits)
+	e.u64(a.Key)
+	e.u32(a.Tenant)
+	e.f64(ToMillis(a.Left))
+	e.f64(ToMillis(a.Hint))
+	e.u8(a.Kind)
+}
+
+// Finished tells of an attempt's end; it carries no load report.
+func (e *Events) Finished(inst uint32, f Finished) {
+	e.head(EvFinished, 27, inst)
+	e.u32(f.Job)
+	e.u8(f.Hop)
+	e.addr(f.Upstream)
+	e.u16(f.Ending)
+	e.f64(ToMillis(f.Took))
+	e.flag(f.Settled)
+	e.u8(0)
+}
+
+// ClientLeft tells that a client has gone.
+func (e *Events) ClientLeft(inst, job uint32) {
+	e.head(EvClientLeft, 8, inst)
+	e.u32(job)
+}
+
+// Wake tells that a timer is due.
+func (e *Events) Wake(inst uint32, cookie uint64) {
+	e.head(EvWake, 12, inst)
+	e.u64(cookie)
+}
+
+// CheckResult tells of a probe's end.
+func (e *Events) CheckResult(inst uint32, up Upstream, ending uint16, took time.Duration, r Report) {
+	e.head(EvCheckResult, 21+4*r.N, inst)
+	e.addr(up)
+	e.u16(ending)
+	e.f64(ToMillis(took))
+	e.u8(uint8(r.N))
+	for _, v := range r.Values[:r.N] {
+		e.u32(math.Float32bits(v))
+	}
+}
+
+// Answer is one frame of actions.
+type Answer struct {
+	Number  uint32
+	Records uint32
+	Body    []byte // valid until the next ReadAnswer
+}
+
+// ReadAnswer reads the next frame of actions.
+func (r *Reader) ReadAnswer() (Answer, error) {
+	head := r.head[:replyHeaderLen]
+	if _, err := io.ReadFull(r.r, head); err != nil {
+		if errors.Is(err, io.EOF) {
+			return Answer{}, io.EOF
+		}
+		return Answer{}, fmt.Errorf("read reply header: %w", err)
+	}
+	le := binary.LittleEndian
+	a := Answer{Number: le.Uint32(head), Records: le.Uint32(head[8:])}
+	size := le.Uint32(head[4:])
+	if size > maxFrame || uint64(a.Records)*recordHeadLen > uint64(size) {
+		return Answer{}, fmt.Errorf("reply %d: %d records in %d bytes cannot be", a.Number, a.Records, size)
+	}
+	body, err := r.body(int(size))
+	if err != nil {
+		return Answer{}, fmt.Errorf("reply %d: %w", a.Number, err)
+	}
+	a.Body = body
+	return a, nil
+}
+
+// Action is one action; which fields it has follows from its code.
+type Action struct {
+	Code   uint16
+	Inst   uint32
+	Job    uint32
+	Hop    uint8
+	To     Upstream
+	Time   time.Duration // a time-out, pause or delay
+	Cookie uint64
+	On     bool
+	Text   string
+}
+
+// Action reads a record as an action. One of a code that is not known has its code alone.
+func (r Record) Action() (Action, error) {
+	c := cursor{b: r.Fields}
+	a := Action{Code: r.Code, Inst: c.u32()}
+	switch r.Code {
+	case ActCallOut:
+		a.Job, a.To, a.Time = c.u32(), c.addr(), settings.Millis(c.f64())
+	case ActPushBack:
+		a.Job, a.Time = c.u32(), settings.Millis(c.f64())
+	case ActLose:
+		a.Job = c.u32()
+	case ActRecall:
+		a.Job, a.Hop = c.u32(), c.u8()
+	case ActSetAlarm:
+		a.Time, a.Cookie = settings.Millis(c.f64()), c.u64()
+	case ActInspect:
+		a.To = c.addr()
+	case ActTail:
+		a.On = c.u8() != 0
+	case ActWriteLog, ActDie:
+		a.Text = string(c.take(int(c.u16())))
+	}
+	return a, c.done(r.Code)
+}
