Account for the worth that was not served: each loss by its cause, adding up to the whole

A figure alone does not say what to mend. Each call that was refused, failed or late has one cause in the record, from how its last attempt ended or what took most of its time; the prices stand beside it.

--- a/cmd/barleylab/lab.go
+++ b/cmd/barleylab/lab.go
@@ -93,6 +93,7 @@
 			return err
 		}
 		fmt.Fprintln(c.OutOrStdout(), r.Line())
+		account(c.OutOrStdout(), r)
 		if err := out.writeAll(r, func() (*report.Page, error) { return report.OfRecord(r, time.Now()) }); err != nil {
 			return err
 		}
--- a/cmd/barleylab/main.go
+++ b/cmd/barleylab/main.go
@@ -8,10 +8,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -146,6 +148,7 @@
 		}
 		took := time.Since(began)
 		fmt.Fprintln(c.OutOrStdout(), r.Line())
+		account(c.OutOrStdout(), r)
 		fmt.Fprintf(c.OutOrStdout(), "played in %v: %.0f requests and %.0f events a second\n", took.Round(time.Millisecond),
 			float64(r.Requests)/took.Seconds(), float64(r.Events)/took.Seconds())
 		if err := out.writeAll(r, func() (*report.Page, error) { return report.OfRecord(r, time.Now()) }); err != nil {
@@ -156,6 +159,16 @@
 	return c
 }
 
+// account tells where the worth went that was not served.
+func account(w io.Writer, r *emulator.Record) {
+	for _, cause := range r.Causes() {
+		fmt.Fprintf(w, "  %6.2f %%  %s\n", 100*r.LostPart(cause), cause)
+	}
+	for _, what := range slices.Sorted(maps.Keys(r.Priced)) {
+		fmt.Fprintf(w, "  %6.2f points for %s\n", 100*r.Priced[what], what)
+	}
+}
+
 func scenario(name string, sidecars, servers int) (*emulator.Scenario, error) {
 	if filepath.Ext(name) == ".toml" {
 		return emulator.LoadScenario(name)
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -25,7 +25,8 @@
 	aimAt       time.Duration
 	deadline    time.Duration
 	tries       int
-	refusedOnly bool // no try got further than a refusal
+	refusedOnly bool   // no try got further than a refusal
+	cause       string // what became of the last try
 	done        bool
 }
 
@@ -97,18 +98,29 @@
 	}
 	if a == AnswerServed {
 		k.done = true
-		s.rec.Served(k.Call, s.now-k.began)
+		took, late := s.now-k.began, ""
+		if s.now > k.aimAt {
+			late = r.lateness(s.now)
+		}
+		s.rec.Served(k.Call, took, late)
 		return
 	}
 	class := s.sc.Classes[k.Class]
-	if a != AnswerRefused {
-		k.refusedOnly = false
+	if k.cause = r.refusal(s.now); a != AnswerRefused {
+		k.cause, k.refusedOnly = r.failure(), false
 	}
 	if !class.Again(a) || k.tries > s.sc.Clients.Retries {
 		c.end(k)
 		return
 	}
-	k.node.mine(s.sc.Clients.Wait(k.tries, pause, time.Duration(s.sc.Rules.RetryAfter), c.moods[k.node.index]), func() { c.try(k) })
+	epoch := k.node.epoch
+	s.after(s.sc.Clients.Wait(k.tries, pause, time.Duration(s.sc.Rules.RetryAfter), c.moods[k.node.index]), func() {
+		if k.node.epoch != epoch {
+			c.killed(k)
+			return
+		}
+		c.try(k)
+	})
 }
 
 // Again says whether a client tries again after an answer: after a refusal, and after
@@ -127,9 +139,15 @@
 	return wait
 }
 
+// killed takes that a call has ended with its sidecar, and its client with it.
+func (c *clients) killed(k *call) {
+	k.cause, k.refusedOnly = causeKilled, false
+	c.end(k)
+}
+
 // lost takes a try that had no answer at all.
 func (c *clients) lost(r *request) {
-	r.call.refusedOnly = false
+	r.call.refusedOnly, r.call.cause = false, causeNoAnswer
 	c.end(r.call)
 }
 
@@ -137,6 +155,6 @@
 func (c *clients) end(k *call) {
 	if !k.done {
 		k.done = true
-		c.sim.rec.Unserved(k.Call, k.refusedOnly, c.sim.now-k.began)
+		c.sim.rec.Unserved(k.Call, k.refusedOnly, c.sim.now-k.began, k.cause)
 	}
 }
--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -46,6 +48,11 @@
 	P99MS  float64 `json:"p99_ms"`
 	P999MS float64 `json:"p999_ms"`
 
+	// Losses are the worth that was not served, by cause; they add up to what was asked
+	// for less what was got. Priced are the prices by what they are for.
+	Losses map[string]float64 `json:"losses"`
+	Priced map[string]float64 `json:"priced"`
+
 	Classes []Part   `json:"classes"`
 	Tenants []Part   `json:"tenants"`
 	Windows []Window `json:"windows"` // of a second each, by when the first try came
@@ -102,6 +109,7 @@
 	r := &Record{
 		Scenario: sc.Name, Seed: seed, Sidecars: sc.Sidecars, Servers: sc.Servers, Zones: sc.Zones, Length: time.Duration(sc.Length),
 		Troubles: sc.Troubles, latency: hdrhistogram.New(leastLatency, mostLatency, digits), sc: sc,
+		Losses: make(map[string]float64), Priced: make(map[string]float64),
 	}
 	for _, c := range sc.Classes {
 		r.Classes = append(r.Classes, Part{Name: c.Name})
@@ -157,14 +165,15 @@
 	w.Part.Asked += sign * c.Worth
 }
 
-// Served takes that a call was served, so long after its first try.
-func (r *Record) Served(c Call, took time.Duration) {
+// Served takes that a call was served, so long after its first try. late is why, if it was.
+func (r *Record) Served(c Call, took time.Duration, late string) {
 	r.ServedAll++
 	w, i := r.window(c)
 	got, class := c.Worth, r.sc.Classes[c.Class]
 	if took > time.Duration(class.Aim) {
 		got *= class.LateWorth
 		r.lateWorth += c.Worth - got
+		r.lose(late, c.Worth-got)
 		r.Late++
 		w.Late++
 	}
@@ -181,8 +190,9 @@
 	}
 }
 
-// Unserved takes that a client has given a call up, so long after its first try.
-func (r *Record) Unserved(c Call, refused bool, after time.Duration) {
+// Unserved takes that a client has given a call up, so long after its first try, and why.
+func (r *Record) Unserved(c Call, refused bool, after time.Duration, cause string) {
+	r.lose(cause, c.Worth)
 	if after > time.Duration(r.sc.Classes[c.Class].Aim) {
 		r.lateWorth += c.Worth
 	}
@@ -241,12 +251,15 @@
 	r.Goodput = whole.Share()
 	if n := float64(r.Requests); n > 0 {
 		p := r.sc.Prices
-		r.Prices = (p.CrossZone*float64(r.Crossed) + p.Probe*float64(r.Probes) + p.Handshake*float64(r.Handshakes)) / n
+		r.Priced["crossing zones"], r.Priced["probes"], r.Priced["handshakes"] = p.CrossZone*float64(r.Crossed)/n, p.Probe*float64(r.Probes)/n, p.Handshake*float64(r.Handshakes)/n
 		if r.offered > 0 {
-			r.Prices += p.Waste * r.wasted / r.offered
+			r.Priced["waste"] = p.Waste * r.wasted / r.offered
 		}
 		if whole.Asked > 0 {
-			r.Prices += p.LateFail * r.lateWorth / whole.Asked
+			r.Priced["failing late"] = p.LateFail * r.lateWorth / whole.Asked
+		}
+		for _, what := range slices.Sorted(maps.Keys(r.Priced)) { // in order, so that the sum is the same each time
+			r.Prices += r.Priced[what]
 		}
 	}
 	r.Result = weightWhole*r.Goodput + weightWorst*worst + weightClass*class + weightTenant*tenant - r.Prices
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -17,6 +17,10 @@
 	Deadline time.Duration // its client's
 	Owner    any           // the caller's own
 
+	Arrived time.Duration // at the server
+	Begun   time.Duration // its turn came; 0: it has not
+	Done    time.Duration
+	Cold    bool // the server was cold when its turn came
 	Failed  bool // it ended in an error
 	Dropped bool // its time was up when its turn came: it never ran
 
@@ -231,6 +235,7 @@
 	if s.Draining || (len(s.running) >= s.slots() && len(s.queue) >= s.Kind.Room*s.Kind.Cores) {
 		return Away
 	}
+	j.Arrived = now
 	s.queue = append(s.queue, j)
 	s.begin()
 	return Taken
@@ -268,6 +273,7 @@
 			s.ended = append(s.ended, j)
 			continue
 		}
+		j.Begun, j.Cold = s.at, s.warmth(s.at) < 1
 		j.left = j.Work * s.Cell.discount(s.at, j.Key)
 		if j.Repeat != 0 {
 			if at, met := s.Cell.zone.met.Get(j.Repeat); met && s.at-at < j.Window {
@@ -318,7 +324,7 @@
 				kept = append(kept, j)
 				continue
 			}
-			j.Failed = j.error
+			j.Failed, j.Done = j.error, s.at
 			s.served++
 			s.ended = append(s.ended, j)
 		}
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -5,8 +5,10 @@
 	"container/heap"
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"barleywick/policy"
@@ -240,6 +242,7 @@
 		s.rec.Wasted(j.spent)
 		s.reply(sv, a, policy.Errored)
 	case s.spoiltPart > 0 && s.chaos.Float64() < s.spoiltPart:
+		a.spoilt = true
 		s.rec.Wasted(j.spent)
 		s.reply(sv, a, policy.Errored)
 	default:
@@ -319,6 +322,9 @@
 	known    []policy.Server // the list as last had
 	watching bool
 	askedAt  time.Duration
+
+	deciding *request // being handed to the module
+	shed     uint64   // what it had shed before
 }
 
 // request is one try of a client, at its sidecar.
@@ -330,6 +336,8 @@
 	deadline time.Duration
 	attempts []*attempt
 	over     bool
+	began    time.Duration
+	shed     bool // the module said so
 }
 
 // attempt is one send.
@@ -341,6 +349,11 @@
 	done  bool // the server has run it
 	spent float64
 	conn  bool // a connection is up
+
+	sent   time.Duration
+	ending policy.Ending
+	spoilt bool
+	job    *Job // at the server; nil: it has not come there
 }
 
 // start begins the sidecar's life, knowing the list as it last had it.
@@ -369,7 +382,11 @@
 	}
 	n.up = false
 	n.epoch++
-	for id, r := range n.open { // in any order: nothing here depends on it
+	for _, id := range slices.Sorted(maps.Keys(n.open)) {
+		r := n.open[id]
+		if !r.over {
+			s.clients.killed(r.call)
+		}
 		r.over = true
 		s.check.Left(id)
 		for _, a := range r.attempts {
@@ -405,7 +422,7 @@
 // take brings the sidecar a client's try.
 func (n *node) take(r *request, work time.Duration) {
 	s := n.sim
-	r.node, r.epoch = n, n.epoch
+	r.node, r.epoch, r.began = n, n.epoch, s.now
 	n.open[r.id] = r
 	s.check.Asked(r.id, n.index, r.call.Class, r.deadline)
 	late := r.deadline + time.Duration(s.sc.Rules.AnswerSlack) - s.now
@@ -417,9 +434,11 @@
 			s.clients.lost(r)
 		}
 	})
+	n.deciding, n.shed = r, sheds(n.b)
 	n.b.Request(s.now, policy.Request{
 		ID: r.id, Class: r.call.Class, Tenant: r.call.Tenant, Left: r.deadline - s.now, Work: work, Key: r.call.Key,
 	})
+	n.deciding = nil
 }
 
 // Send starts the next attempt of a request.
@@ -431,7 +450,7 @@
 	if r == nil {
 		return // the Checker has it
 	}
-	a := &attempt{r: r, n: len(r.attempts), to: sv}
+	a := &attempt{r: r, n: len(r.attempts), to: sv, sent: s.now}
 	r.attempts = append(r.attempts, a)
 	s.rec.Sends++
 	if sv.Zone != n.zone {
@@ -514,6 +533,7 @@
 	}
 	switch fell := sv.Fell; sv.Arrive(s.now, j) {
 	case Taken:
+		a.job = j
 		if s.resetPart > 0 && s.chaos.Float64() < s.resetPart {
 			s.nodeAfter(a, time.Duration(s.chaos.Float64()*float64(100*time.Millisecond)), func() { n.end(a, policy.Broken) })
 		}
@@ -537,7 +557,7 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
+	a.ended, a.ending = true, end
 	s, r := n.sim, a.r
 	if a.conn {
 		if end == policy.Served || end == policy.Errored || end == policy.TurnedAway {
@@ -598,6 +618,7 @@
 	if r == nil || r.over {
 		return // ended a moment ago, which the protocol forgives
 	}
+	r.shed = n.deciding == r && sheds(n.b) > n.shed
 	n.answer(r, a, pause)
 	n.forget(r)
 }
--- a/internal/emulator/sim_test.go
+++ b/internal/emulator/sim_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -53,6 +54,7 @@
 				if ended := r.ServedAll + r.Refused + r.Failed + r.Gone; ended > r.Requests || ended < r.Requests*9/10 {
 					t.Errorf("seed %d: %d calls ended of %d", seed, ended, r.Requests)
 				}
+				checkAccount(t, r)
 				out, err := json.Marshal(r)
 				if err != nil {
 					t.Fatal(err)
@@ -73,6 +75,39 @@
 // unsafe is the class that must never run twice; what never ran may go anywhere.
 const unsafe = 1
 
+// checkAccount checks that the causes add up to all that was not served.
+func checkAccount(t *testing.T, r *Record) {
+	t.Helper()
+	asked, got, lost, priced := 0.0, 0.0, 0.0, 0.0
+	for _, c := range r.Classes {
+		asked, got = asked+c.Asked, got+c.Got
+	}
+	for _, cause := range r.Causes() {
+		lost += r.Losses[cause]
+	}
+	for _, p := range r.Priced {
+		priced += p
+	}
+	if math.Abs(asked-got-lost) > 1e-6*asked || lost <= 0 {
+		t.Errorf("asked %v, served %v, the account has %v: %v", asked, got, lost, r.Losses)
+	}
+	if math.Abs(priced-r.Prices) > 1e-9 {
+		t.Errorf("prices %v, in parts %v", r.Prices, r.Priced)
+	}
+}
+
+// Each day's own trouble stands in its account.
+func TestAccountNamesTheTrouble(t *testing.T) {
+	for name, cause := range map[string]string{
+		"herd": causeKilled, "errors": causeError, "vanish": causeSilent, "overload": causeWall, "heavy": causeLateWork, "slow": causeLateSlow,
+		"zone": causeBroken, "split": causeSilent, "join": causeSpoilt,
+	} {
+		if r := play(t, day(t, name, 30, 20), 1, Balancer); r.Losses[cause] == 0 {
+			t.Errorf("%s: nothing by %q: %v", name, cause, r.Losses)
+		}
+	}
+}
+
 // meddler stands between a module and its host, and between the list and the module.
 type meddler struct {
 	*policy.Balancer
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -413,7 +413,7 @@
 	}
 	l.rec.Asked(c)
 	l.mu.Unlock()
-	refusedOnly := true
+	refusedOnly, cause := true, "failed"
 	for n := 1; ; n++ {
 		left := time.Duration(float64(time.Duration(class.Deadline)-time.Since(began)) * l.sc.Clients.TryShare)
 		if left < time.Millisecond {
@@ -428,18 +428,20 @@
 		a := emulator.AnswerFailed
 		switch out.Outcome {
 		case load.Served:
-			l.count(func(r *emulator.Record) { r.Served(c, took) })
+			l.count(func(r *emulator.Record) { r.Served(c, took, "late") })
 			return
 		case load.Refused:
 			a = emulator.AnswerRefused
 		}
-		refusedOnly = refusedOnly && a == emulator.AnswerRefused
+		if cause = out.Outcome.String(); a != emulator.AnswerRefused {
+			refusedOnly = false
+		}
 		if !class.Again(a) || n > l.sc.Clients.Retries {
 			break
 		}
 		time.Sleep(l.sc.Clients.Wait(n, out.Pause, time.Duration(l.sc.Rules.RetryAfter), mood))
 	}
-	l.count(func(r *emulator.Record) { r.Unserved(c, refusedOnly, time.Since(began)) })
+	l.count(func(r *emulator.Record) { r.Unserved(c, refusedOnly, time.Since(began), cause) })
 }
 
 // once makes one try, and says whether the client has gone with its sidecar.
