--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -169,6 +169,11 @@
 	delete(c.open, id)
 }
 
+// ServedBad takes that a client was served that had asked for nothing that can be.
+func (c *Checker) ServedBad(now time.Duration, said string) {
+	c.breach(1, "a client that said %s was served at %v", said, now)
+}
+
 // Left takes that a client went away early: nothing is owed any more.
 func (c *Checker) Left(id policy.RequestID) { delete(c.open, id) }
 
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -54,7 +54,7 @@
 // that is not up there is nobody to ask.
 func (c *clients) first(next Call) {
 	s, n := c.sim, c.sim.nodes[next.Sidecar]
-	if !n.up {
+	if !n.up || n.leaving {
 		return
 	}
 	class := s.sc.Classes[next.Class]
@@ -115,7 +115,7 @@
 	}
 	epoch := k.node.epoch
 	s.after(s.sc.Clients.Wait(k.tries, pause, time.Duration(s.sc.Rules.RetryAfter), c.moods[k.node.index]), func() {
-		if k.node.epoch != epoch {
+		if k.node.epoch != epoch || k.node.leaving {
 			c.killed(k)
 			return
 		}
--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -43,6 +43,8 @@
 	Restarts   int `json:"restarts"`
 	Fell       int `json:"fell"`
 	Events     int `json:"events"`
+	Bad        int `json:"bad_clients"`         // connections of clients that say what cannot be read
+	BadWaiting int `json:"bad_clients_waiting"` // of those, the ones that got neither an error nor a close in time
 
 	P50MS  float64 `json:"p50_ms"`
 	P99MS  float64 `json:"p99_ms"`
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -107,6 +107,11 @@
 	if err := sc.Check(); err != nil {
 		return nil, err
 	}
+	for i, t := range sc.Troubles {
+		if troubleKinds[t.Name].begin == nil {
+			return nil, fmt.Errorf("scenario: troubles[%d]: %s is for real sockets only", i, t.Name)
+		}
+	}
 	s := &Sim{make: decide, now: Dawn, cut: make([]int, len(sc.Zones))}
 	s.luck = source(seed, streamLuck, 0)
 	s.chaos = source(seed, streamChaos, 0)
@@ -320,6 +325,7 @@
 	idle  map[int][]time.Duration // by server: since when each idle connection is
 
 	known    []policy.Server // the list as last had
+	leaving  bool            // a planned end: nothing new comes, what it has is answered
 	watching bool
 	askedAt  time.Duration
 
@@ -366,7 +372,7 @@
 		s.failure = fmt.Errorf("sidecar %d: %w", n.index, err)
 		return
 	}
-	n.b, n.up, n.watching, n.askedAt = b, true, false, s.now
+	n.b, n.up, n.leaving, n.watching, n.askedAt = b, true, false, false, s.now
 	if n.known == nil {
 		n.known = s.list.all()
 	}
@@ -409,6 +415,32 @@
 	s.after(down, n.start)
 }
 
+// leaveIn is the longest that a sidecar is given for its answers at a planned end,
+// beyond the longest deadline; leaveLook is how often it is looked at meanwhile.
+const (
+	leaveIn   = 700 * time.Millisecond
+	leaveLook = 20 * time.Millisecond
+)
+
+// leave ends a sidecar as planned: nothing new comes, and it goes when all that it has
+// is answered, or its time is up.
+func (s *Sim) leave(n *node, down time.Duration) {
+	if !n.up || n.leaving {
+		return
+	}
+	n.leaving = true
+	by := s.now + s.longest() + leaveIn
+	var look func()
+	look = func() {
+		if len(n.open) > 0 && s.now < by {
+			n.mine(leaveLook, look)
+			return
+		}
+		s.restart(n, down)
+	}
+	look()
+}
+
 // mine plans something for this life of the sidecar.
 func (n *node) mine(d time.Duration, do func()) {
 	epoch := n.epoch
--- a/internal/emulator/sim_test.go
+++ b/internal/emulator/sim_test.go
@@ -241,6 +241,28 @@
 	})
 }
 
+// A planned end of all sidecars loses no call that they have taken.
+func TestAPlannedEndAnswersWhatWasTaken(t *testing.T) {
+	planned, killed := day(t, "calm", 10, 8), day(t, "calm", 10, 8)
+	planned.Troubles = []Trouble{{Name: "roll", At: at(5), For: at(10), Part: 1, Extra: at(0.3)}}
+	killed.Troubles = []Trouble{{Name: "herd", At: at(5), Part: 1, Extra: at(0.3)}}
+	a, b := play(t, planned, 1, Balancer), play(t, killed, 1, Balancer)
+	if a.Restarts != 10 || b.Restarts != 10 || len(a.Broken) > 0 {
+		t.Fatalf("%d and %d restarts, %v", a.Restarts, b.Restarts, a.Broken)
+	}
+	if a.Losses[causeKilled] > 0 || b.Losses[causeKilled] == 0 {
+		t.Errorf("lost with their sidecar: %v in a planned end, %v in a kill", a.Losses[causeKilled], b.Losses[causeKilled])
+	}
+}
+
+func TestWhatIsForRealSocketsOnlyIsSaid(t *testing.T) {
+	sc := day(t, "calm", 3, 3)
+	sc.Troubles = []Trouble{{Name: "bad_clients", Size: 1}}
+	if _, err := NewSim(sc, 1, Balancer); err == nil || !strings.Contains(err.Error(), "troubles[0]: bad_clients is for real sockets only") {
+		t.Errorf("%v", err)
+	}
+}
+
 // A day without a request has not been judged.
 func TestADayOfNothingIsNotPassed(t *testing.T) {
 	sc := day(t, "slow", 3, 4)
--- a/internal/emulator/trouble.go
+++ b/internal/emulator/trouble.go
@@ -43,7 +43,8 @@
 	"spoilt":      {"answers arrive spoilt: the request has run", 0, 0, (*Sim).spoilt},
 	"reset":       {"connections break under requests", 0, 0, (*Sim).resets},
 	"herd":        {"sidecars are killed at once; they are back, knowing only their old lists, after extra", 0, 0, (*Sim).herd},
-	"roll":        {"sidecars are restarted one after the other over its time; each is back after extra", 0, 0, (*Sim).roll},
+	"bad_clients": {"size connections a second to each sidecar say what cannot be read; on real sockets only", 0, 1000, nil},
+	"roll":        {"sidecars are ended in order one after the other over its time; each is back extra after its end", 0, 0, (*Sim).roll},
 }
 
 // TroubleNames lists the troubles there are, sorted, each with what it does.
@@ -215,7 +216,7 @@
 	some := Befallen(s.luck, len(s.nodes), t.Part)
 	for n, i := range some {
 		node := s.nodes[i]
-		s.after(time.Duration(float64(t.For)*float64(n)/float64(len(some))), func() { s.restart(node, time.Duration(t.Extra)) })
+		s.after(time.Duration(float64(t.For)*float64(n)/float64(len(some))), func() { s.leave(node, time.Duration(t.Extra)) })
 	}
 	return nil
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -74,7 +74,7 @@
 )
 
 // playable are the troubles that can be played on real sockets.
-var playable = []string{"slow", "fast_errors", "neighbour", "heavy_tail", "burst", "kill", "vanish", "zone_lost", "replace", "herd", "roll", "spoilt", "reset"}
+var playable = []string{"slow", "fast_errors", "neighbour", "heavy_tail", "burst", "kill", "vanish", "zone_lost", "replace", "herd", "roll", "spoilt", "reset", "bad_clients"}
 
 // Check says whether a scenario can be played on real sockets.
 func Check(sc *emulator.Scenario) error {
--- a/internal/lab/trouble.go
+++ b/internal/lab/trouble.go
@@ -106,6 +106,8 @@
 		return l.part(&l.spoilt, t.Part), nil
 	case "reset":
 		return l.part(&l.reset, t.Part), nil
+	case "bad_clients":
+		return nil, l.annoy(ctx, t)
 	case "herd":
 		return nil, l.restart(ctx, t, 0, (*member).killed)
 	case "roll":
