Judge the drains of sidecars that go without the list

The Checker took a sidecar as told of a drain only when news reached it, so that one that never asks could send to drained servers for ever. It counts as told now once it has not asked for the settings' time, four times that after a failed call. A module that never asks is found by a test, and was not.

--- a/internal/emulator/list.go
+++ b/internal/emulator/list.go
@@ -79,6 +79,11 @@
 			return
 		}
 		*at = listed{known: true, entry: now, n: at.n}
+		if now.State != policy.Ready {
+			for _, n := range l.sim.nodes {
+				n.mine(time.Duration(l.sim.sc.Rules.AskWithin), func() { n.unheard(sv.Index) })
+			}
+		}
 		l.version++
 		l.log = append(l.log, sv.Index)
 		if !l.flush {
@@ -161,7 +166,7 @@
 
 func (l *list) failed(n *node) {
 	l.sim.rec.ListFailed++
-	n.watching = false
+	n.watching, n.refused = false, true
 	n.b.List(l.sim.now, policy.ListFailed, nil)
 }
 
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -327,7 +327,8 @@
 	known    []policy.Server // the list as last had
 	leaving  bool            // a planned end: nothing new comes, what it has is answered
 	watching bool
-	askedAt  time.Duration
+	askedAt  time.Duration // it called for the list last
+	refused  bool          // and that call failed
 
 	deciding *request // being handed to the module
 	shed     uint64   // what it had shed before
@@ -696,12 +697,34 @@
 }
 
 // WatchList asks for the list.
-func (n *node) WatchList() { n.mine(0, func() { n.sim.list.watch(n) }) }
+func (n *node) WatchList() {
+	n.askedAt = n.sim.now
+	n.mine(0, func() { n.sim.list.watch(n) })
+}
+
+// unheard looks whether a sidecar that follows no watch has gone without asking for so
+// long that it counts as told of a server's end or drain.
+func (n *node) unheard(server int) {
+	s, within := n.sim, time.Duration(n.sim.sc.Rules.AskWithin)
+	if n.refused {
+		within *= askedInVain
+	}
+	switch e := s.list.entries[server]; {
+	case n.watching || e.entry.State == policy.Ready:
+	case s.now < n.askedAt+within:
+		n.mine(n.askedAt+within-s.now, func() { n.unheard(server) })
+	default:
+		s.check.Told(s.now, n.index, server, false, e.entry.Started)
+	}
+}
+
+// askedInVain is how many times as long a sidecar has whose last call failed.
+const askedInVain = 4
 
 // told gives the sidecar news of the list.
 func (n *node) told(kind policy.ListKind, entries []policy.Server) {
 	s := n.sim
-	n.askedAt = s.now
+	n.refused = false
 	if kind == policy.ListFull {
 		named := make(map[policy.ServerID]bool, len(entries))
 		for _, e := range entries {
--- a/internal/emulator/sim_test.go
+++ b/internal/emulator/sim_test.go
@@ -115,12 +115,19 @@
 	classes map[policy.RequestID]int
 	newest  policy.ServerID // where all goes; 0: where the module says
 	send    func(m *meddler, id policy.RequestID, to policy.ServerID, timeout time.Duration)
+	deaf    bool // it never asks for the list
 	refuse  func(m *meddler, id policy.RequestID, pause time.Duration)
 	list    func(kind policy.ListKind, entries []policy.Server) []policy.Server
 }
 
 func (m *meddler) Wake(d time.Duration) { m.Host.Wake(d) }
 
+func (m *meddler) WatchList() {
+	if !m.deaf {
+		m.Host.WatchList()
+	}
+}
+
 func (m *meddler) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
 	if class, first := m.classes[id]; m.newest != 0 && first && class == unsafe {
 		to = m.newest
@@ -171,6 +178,8 @@
 func TestEachBrokenRuleIsFound(t *testing.T) {
 	overload := day(t, "overload", 10, 8)
 	join := day(t, "join", 10, 20)
+	drained := day(t, "calm", 10, 20)
+	drained.Troubles = []Trouble{{Name: "replace", At: at(2), For: at(2), Part: 0.5, Extra: at(28)}}
 	for name, c := range map[string]struct {
 		rule   int
 		sc     *Scenario
@@ -207,6 +216,7 @@
 				return entries
 			}
 		}},
+		"sends on, and never asks for the list": {3, drained, func(m *meddler) { m.deaf = true }},
 		"a flood at a cold server": {4, join, func(m *meddler) {
 			m.list = func(_ policy.ListKind, entries []policy.Server) []policy.Server {
 				for _, e := range entries {
