--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -4,6 +4,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -183,8 +184,8 @@
 	for _, s := range l.sidecars {
 		go func() { starts <- s.start(ctx) }() // awaited below
 	}
-	for range l.sidecars {
-		err = errors.Join(err, <-starts)
+	for range l.sidecars { // all are awaited; the first to fail says why
+		err = cmp.Or(err, <-starts)
 	}
 	for _, s := range l.sidecars {
 		s.up = true
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -140,7 +140,7 @@
 func TestALabThatCannotStartSaysWhy(t *testing.T) {
 	o := options(t, "calm", time.Second)
 	o.Program = "/bin/false"
-	if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), "ended before it was ready") {
+	if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), "ended before it was ready") || strings.Contains(err.Error(), "\n") {
 		t.Errorf("%v", err)
 	}
 	nothingLeft(t)
--- a/internal/sidecar/explain.go
+++ b/internal/sidecar/explain.go
@@ -61,7 +61,7 @@
 	line("server connections", "connections.servers, limits.sockets", "%d; %d to one server; handshakes %d, %d to one server",
 		s.Total, s.PerServer, s.Handshakes, s.HandshakesPerServer)
 	if c.Metrics.Listen != "" {
-		line("metrics", "metrics.listen", "http://%s/metrics", c.Metrics.Listen)
+		line("metrics", "metrics.listen", "http://%s/metrics, by barleywick-metered", c.Metrics.Listen)
 	}
 	if c.Takeover != nil {
 		line("take-over", "takeover", "a new process may take this one's place at %s", c.Takeover.Socket)
