--- a/internal/emulator/presets.go
+++ b/internal/emulator/presets.go
@@ -21,16 +21,16 @@
 		troubles: []Trouble{{Name: "burst", At: at(12), For: at(6), Size: 1.5}},
 		change:   func(s *Scenario) { s.Load = 0.6 }},
 	"roll": {about: "half of the servers are replaced while all sidecars are restarted",
-		troubles: []Trouble{{Name: "replace", At: at(4), For: at(20), Part: 0.5, Extra: at(4)}, {Name: "roll", At: at(5), For: at(18), Part: 1, Extra: at(0.3)}}},
+		troubles: []Trouble{{Name: "replace", At: at(4), For: at(20), Part: 0.5, Size: 5, Extra: at(4)}, {Name: "roll", At: at(5), For: at(18), Part: 1, Extra: at(0.3)}}},
 	"herd": {about: "seven in ten sidecars are killed at once, some servers are replaced, the list is short of time",
-		troubles: []Trouble{{Name: "herd", At: at(11.5), Part: 0.7, Extra: at(0.5)}, {Name: "replace", At: at(10), For: at(5), Part: 0.15, Extra: at(4)}, {Name: "slow", At: at(8), For: at(15), Part: 0.12, Size: 5}},
+		troubles: []Trouble{{Name: "herd", At: at(11.5), Part: 0.7, Extra: at(0.5)}, {Name: "replace", At: at(10), For: at(5), Part: 0.15, Size: 1, Extra: at(4)}, {Name: "slow", At: at(8), For: at(15), Part: 0.12, Size: 5}},
 		change:   func(s *Scenario) { s.List.PerMS *= overbooked }},
 	"zone": {about: "a zone is lost for 5 s and returns cold; some servers fail",
 		troubles: []Trouble{{Name: "zone_lost", At: at(8), For: at(5), Zone: 1}, {Name: "fast_errors", At: at(6), For: at(16), Part: 0.12, Size: 0.6}}},
 	"split": {about: "a zone is cut off for 6 s, lists come late, some connections break",
 		troubles: []Trouble{{Name: "partition", At: at(10), For: at(6), Zone: 1}, {Name: "stale_list", At: at(8), For: at(12), Extra: at(2)}, {Name: "reset", At: at(6), For: at(18), Part: 0.02}}},
 	"join": {about: "six in ten servers are replaced within 7 s; some answers are spoilt",
-		troubles: []Trouble{{Name: "replace", At: at(8), For: at(7), Part: 0.6, Extra: at(4)}, {Name: "spoilt", At: at(5), For: at(20), Part: 0.01}},
+		troubles: []Trouble{{Name: "replace", At: at(8), For: at(7), Part: 0.6, Size: 2, Extra: at(4)}, {Name: "spoilt", At: at(5), For: at(20), Part: 0.01}},
 		change:   func(s *Scenario) { s.Clients.Leave = 0.05 }},
 	"slow": {about: "a fifth of the servers run five times slower",
 		troubles: []Trouble{{Name: "slow", At: at(6), For: at(15), Part: 0.2, Size: 5}}},
@@ -49,6 +49,9 @@
 }
 
 const (
+	// keysEach is how many keys there are for each server: the operators state 400 to
+	// 1,000 for 8 to 10. With a fixed number a large fleet would have them all warm.
+	keysEach = 75
 	// callsEach is how many calls for the whole list the service bears in a second for
 	// each sidecar. The operators' drawn days state between one and two.
 	callsEach = 1.4
@@ -81,6 +84,7 @@
 	s.Name, s.Sidecars, s.Servers, s.Troubles = name, sidecars, servers, slices.Clone(p.troubles)
 	// The service has grown with the fleet, as the operators' has.
 	s.List.PerMS = callsEach * float64(sidecars) * float64(s.List.PerCall+servers) / 1000
+	s.Keys.Count = keysEach * servers
 	if p.change != nil {
 		p.change(s)
 	}
--- a/internal/emulator/sim_test.go
+++ b/internal/emulator/sim_test.go
@@ -99,7 +99,7 @@
 // Each day's own trouble stands in its account.
 func TestAccountNamesTheTrouble(t *testing.T) {
 	for name, cause := range map[string]string{
-		"herd": causeKilled, "errors": causeError, "vanish": causeSilent, "overload": causeWall, "heavy": causeLateWork, "slow": causeLateSlow,
+		"herd": causeKilled, "errors": causeError, "vanish": causeSilent, "overload": causeShed, "heavy": causeLateWork, "slow": causeLateSlow,
 		"zone": causeBroken, "split": causeSilent, "join": causeSpoilt,
 	} {
 		if r := play(t, day(t, name, 30, 20), 1, Balancer); r.Losses[cause] == 0 {
--- a/internal/emulator/trouble.go
+++ b/internal/emulator/trouble.go
@@ -35,7 +35,7 @@
 	"burst":       {"clients ask for size times as much", 0, 100, (*Sim).asked},
 	"kill":        {"server processes are killed; they start again, cold, when it is over", 0, 0, (*Sim).killServers},
 	"vanish":      {"machines are cut off from everybody and say nothing", 0, 0, (*Sim).vanish},
-	"replace":     {"servers are drained and replaced by new ones, one after the other over its time; each has extra to finish", 0, 0, (*Sim).replace},
+	"replace":     {"servers are drained and replaced by new ones, in size steps over its time (0: one by one); each has extra to finish", 0, 10_000, (*Sim).replace},
 	"zone_lost":   {"a zone's servers are killed and come back cold when it is over", 0, 0, (*Sim).zoneLost},
 	"partition":   {"a zone cannot reach the others, nor they it", 0, 0, (*Sim).partition},
 	"list_down":   {"the list service is down", 0, 0, (*Sim).listDown},
@@ -165,15 +165,29 @@
 	return func() { s.revive(dead) }
 }
 
-// replace drains servers one after the other; each has a successor of the same zone and kind.
+// SuccessorAfter is how long after its forerunner begins to drain a new server runs: it
+// takes its place, and has to start.
+const SuccessorAfter = time.Second
+
+// Step is when, since a trouble's begin, the nth of so many that it replaces has its
+// turn: in as many steps as its size says, or one by one.
+func (t Trouble) Step(n, of int) time.Duration {
+	steps := of
+	if t.Size >= 1 {
+		steps = min(of, int(t.Size))
+	}
+	return time.Duration(float64(t.For) * float64(n*steps/of) / float64(steps))
+}
+
+// replace drains servers step by step; each has a successor of the same zone and kind.
 func (s *Sim) replace(t *Trouble) func() {
 	some := s.struck(t)
 	for n, sv := range some {
-		s.after(time.Duration(float64(t.For)*float64(n)/float64(len(some))), func() {
+		s.after(t.Step(n, len(some)), func() {
 			s.touch(sv)
 			sv.Draining = true
 			s.list.changed(sv)
-			s.add(sv.Zone, sv.Kind, sv.Cell, sv.Speed)
+			s.after(SuccessorAfter, func() { s.add(sv.Zone, sv.Kind, sv.Cell, sv.Speed) })
 			s.after(time.Duration(t.Extra), func() { s.kill(sv) })
 		})
 	}
--- a/internal/lab/trouble.go
+++ b/internal/lab/trouble.go
@@ -154,15 +154,13 @@
 	}
 }
 
-// replace drains servers one after the other; each has a successor of the same kind.
+// replace drains servers step by step; each has a successor of the same kind.
 func (l *lab) replace(ctx context.Context, t emulator.Trouble) error {
 	some := l.some(t.Part)
-	for _, b := range some {
-		l.mu.Lock()
-		next := l.fleet.Place(b.sv.Zone, b.sv.Kind, b.sv.Cell, b.sv.Speed, l.now())
-		l.mu.Unlock()
-		if err := l.addServer(next, true); err != nil {
-			return err
+	began := time.Now()
+	for n, b := range some {
+		if !sleep(ctx, t.Step(n, len(some))-time.Since(began)) {
+			return nil
 		}
 		if _, err := l.registry.Mark(ctx, registry.MarkRequest{Hosts: []string{b.name}, By: "lab", Draining: true}); err != nil {
 			if ctx.Err() != nil {
@@ -171,15 +169,23 @@
 			return err
 		}
 		l.told(b.sv)
+		l.tasks.Go(func() {
+			if !sleep(ctx, emulator.SuccessorAfter) {
+				return
+			}
+			l.mu.Lock()
+			next := l.fleet.Place(b.sv.Zone, b.sv.Kind, b.sv.Cell, b.sv.Speed, l.now())
+			l.mu.Unlock()
+			if err := l.addServer(next, true); err != nil {
+				l.fail(err)
+			}
+		})
 		l.tasks.Go(func() {
 			if sleep(ctx, time.Duration(t.Extra)) {
 				b.deregister()
 				b.kill()
 			}
 		})
-		if !sleep(ctx, time.Duration(float64(t.For)/float64(len(some)))) {
-			return nil
-		}
 	}
 	return nil
 }
