Drop what nothing reads in emulator and lab, and find a list's place in one way

The list's version and Checker.Kept were read by nothing, a server's address and an error value in the lab stood for one use each, a zone's repeats were wrapped in a struct of one field, and the list grew to hold a server in two places.

--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -244,6 +244,3 @@
 		c.Broken = append(c.Broken, fmt.Sprintf("nothing to judge: %d requests, %d answers, %d sends", c.Requests, c.Answers, c.Sends))
 	}
 }
-
-// Kept says whether no rule was broken and there was something to judge.
-func (c *Checker) Kept() bool { return len(c.Broken) == 0 }
--- a/internal/emulator/list.go
+++ b/internal/emulator/list.go
@@ -11,7 +11,6 @@
 // has waited too long fails, though it has cost what it cost.
 type list struct {
 	sim     *Sim
-	version int
 	entries []listed // by server
 	log     []int    // servers, in the order of their changes
 	down    bool
@@ -31,10 +30,15 @@
 
 // know puts a server on the list, from the beginning.
 func (l *list) know(sv *Server) {
+	*l.of(sv) = listed{known: true, entry: l.entry(sv)}
+}
+
+// of is the list's place for a server; it holds until the next server comes.
+func (l *list) of(sv *Server) *listed {
 	for len(l.entries) <= sv.Index {
 		l.entries = append(l.entries, listed{})
 	}
-	l.entries[sv.Index] = listed{known: true, entry: l.entry(sv)}
+	return &l.entries[sv.Index]
 }
 
 // entry is how the list sees a server now.
@@ -56,10 +60,7 @@
 
 // changed has the list learn of a server's state as it will be then.
 func (l *list) changed(sv *Server) {
-	for len(l.entries) <= sv.Index {
-		l.entries = append(l.entries, listed{})
-	}
-	spec, at := l.sim.sc.List, &l.entries[sv.Index]
+	spec, at := l.sim.sc.List, l.of(sv)
 	at.n++
 	n := at.n
 	late := time.Duration(spec.Notice)
@@ -70,7 +71,7 @@
 		late = time.Duration(spec.Add)
 	}
 	l.sim.after(late+l.later, func() {
-		at := &l.entries[sv.Index] // the slice may have grown
+		at := l.of(sv) // servers may have come
 		now := l.entry(sv)
 		if at.n != n && at.known {
 			return // later news bring it
@@ -84,7 +85,6 @@
 				n.mine(time.Duration(l.sim.sc.Rules.AskWithin), func() { n.unheard(sv.Index) })
 			}
 		}
-		l.version++
 		l.log = append(l.log, sv.Index)
 		if !l.flush {
 			l.flush = true
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -95,10 +95,8 @@
 	spec   Keys
 }
 
-// repeats are the keyed requests that a zone has met.
-type repeats struct {
-	met *lru.Cache[uint64, time.Duration]
-}
+// repeats are the keyed requests that a zone has met, each with when it was begun.
+type repeats = lru.Cache[uint64, time.Duration]
 
 // mostRepeats bounds what a zone remembers of keyed requests: more than come within a window.
 const mostRepeats = 1 << 17
@@ -108,7 +106,7 @@
 	if err != nil {
 		panic(err) // the size is a constant
 	}
-	return &repeats{met}
+	return met
 }
 
 // NewCell makes a cell that remembers so many keys.
@@ -276,10 +274,10 @@
 		j.Begun, j.Cold = s.at, s.warmth(s.at) < 1
 		j.left = j.Work * s.Cell.discount(s.at, j.Key)
 		if j.Repeat != 0 {
-			if at, met := s.Cell.zone.met.Get(j.Repeat); met && s.at-at < j.Window {
+			if at, met := s.Cell.zone.Get(j.Repeat); met && s.at-at < j.Window {
 				j.left = min(j.left, repeatWork)
 			} else {
-				s.Cell.zone.met.Add(j.Repeat, s.at)
+				s.Cell.zone.Add(j.Repeat, s.at)
 			}
 		}
 		if s.rng.Float64() < max(s.Failing, s.Kind.Errors) {
--- a/internal/lab/booking.go
+++ b/internal/lab/booking.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -19,7 +18,6 @@
 type booking struct {
 	lab  *lab
 	name string
-	addr string
 
 	mu   sync.Mutex
 	sv   *emulator.Server
@@ -51,7 +49,7 @@
 	life, end := context.WithCancel(context.Background())
 	session, leave := context.WithCancel(context.Background())
 	b.mu.Lock()
-	b.addr, b.life, b.quit, b.full = ln.Addr().String(), end, make(chan struct{}), make(map[net.Conn]bool)
+	b.life, b.quit, b.full = end, make(chan struct{}), make(map[net.Conn]bool)
 	b.leave, b.left = leave, make(chan struct{})
 	born := int64(0)
 	if cold {
@@ -71,7 +69,7 @@
 	block := b.sv.Cell.Number
 	r := registry.RegisterRequest{
 		Instance: registry.Instance{
-			Host: b.name, Dial: b.addr, Site: b.lab.sc.Zones[b.sv.Zone], Class: b.sv.Kind.Name, Block: &block,
+			Host: b.name, Dial: ln.Addr().String(), Site: b.lab.sc.Zones[b.sv.Zone], Class: b.sv.Kind.Name, Block: &block,
 			Health: registry.Up, Share: b.sv.Kind.Speed * float64(b.sv.Kind.Cores), BornMS: born,
 		},
 		Session: fmt.Sprintf("%s-%d", b.name, time.Now().UnixNano()), TTLMS: sessionTTL.Milliseconds(), Machine: b.name,
@@ -304,13 +302,11 @@
 	b.kill()
 }
 
-var errPort = errors.New("no free port was found")
-
 // freeAddr is an address that nobody listens on.
 func freeAddr() (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", errors.Join(errPort, err)
+		return "", fmt.Errorf("no free port was found: %w", err)
 	}
 	defer ln.Close()
 	return ln.Addr().String(), nil
