Grace, repeat window and a connection's close hold at the moment of acting

Cause, found by reading: the pause after a failed call for the list was made for a grace of 3 s (policy/ask.go, firstAsk), and other settings say 0.5; a keyed request's window was checked when it was sent again was decided, up to a connection's wait before the write (loop.Send); an attempt that waited for a connection was written after its client had left where attempts may not be called off; a request just read could be lost to closeIdle, which saw an idle connection until the handler had run. Change: rules.stop_sending_within_ms goes into the module and bounds those pauses; Host.Send says how long an attempt may wait to begin; what is not written when its request ends never is; reading and closing a client's connection exclude each other. Tests force each crossing; the one of the leaving client was seen to fail without its line.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -60,7 +60,7 @@
 // logEvery is how often an instance's counters go to the log.
 const logEvery = 10 * time.Second
 
-func (i *instance) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (i *instance) Send(id policy.RequestID, to policy.ServerID, timeout, _ time.Duration) {
 	i.host.reply.CallOut(i.number, uint32(id), wire.Upstream(to), timeout)
 }
 
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -361,7 +361,7 @@
 		Balancers: s.Sidecars, Zone: zone, Slots: s.Slots,
 		MaxAttempts: s.Rules.MostTries, MayCancel: true, MayProbe: true, Reports: true,
 		MaxRetryAfter: time.Duration(s.Rules.RetryAfter), WarmKeys: s.Keys.Gain > 0,
-		AskList: true, AskWithin: time.Duration(s.Rules.AskWithin), ColdMultiple: s.Rules.FallMultiple,
+		AskList: true, AskWithin: time.Duration(s.Rules.AskWithin), DrainGrace: time.Duration(s.Rules.StopWithin), ColdMultiple: s.Rules.FallMultiple,
 		ColdFrom: 1, CrossZonePrice: s.Prices.CrossZone,
 	}
 	for _, k := range s.Kinds {
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -491,7 +491,7 @@
 }
 
 // Send starts the next attempt of a request.
-func (n *node) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (n *node) Send(id policy.RequestID, to policy.ServerID, timeout, _ time.Duration) {
 	s := n.sim
 	sv := s.Servers[int(to)-1]
 	s.check.Sent(s.now, id, sv.Index)
--- a/internal/emulator/sim_test.go
+++ b/internal/emulator/sim_test.go
@@ -128,11 +128,11 @@
 	}
 }
 
-func (m *meddler) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (m *meddler) Send(id policy.RequestID, to policy.ServerID, timeout, start time.Duration) {
 	if class, first := m.classes[id]; m.newest != 0 && first && class == unsafe {
 		to = m.newest
 	}
-	m.Host.Send(id, to, timeout)
+	m.Host.Send(id, to, timeout, start)
 	if m.send != nil {
 		m.send(m, id, to, timeout)
 	}
@@ -191,13 +191,13 @@
 		"a send after the end": {1, overload, func(m *meddler) {
 			m.refuse = func(m *meddler, id policy.RequestID, pause time.Duration) {
 				m.Host.Refuse(id, pause)
-				m.Host.Send(id, 1, time.Second)
+				m.Host.Send(id, 1, time.Second, 0)
 			}
 		}},
 		"an unsafe request sent twice": {2, day(t, "calm", 10, 8), func(m *meddler) {
 			m.send = func(m *meddler, id policy.RequestID, to policy.ServerID, timeout time.Duration) {
 				if m.classes[id] == unsafe && id%50 == 0 {
-					m.Host.Send(id, to, timeout)
+					m.Host.Send(id, to, timeout, 0)
 				}
 			}
 		}},
--- a/internal/remote/remote.go
+++ b/internal/remote/remote.go
@@ -185,7 +185,7 @@
 		if patience == 0 {
 			patience = time.Hour // until the client gives up
 		}
-		i.host.Send(policy.RequestID(a.Job), policy.ServerID(a.To), patience)
+		i.host.Send(policy.RequestID(a.Job), policy.ServerID(a.To), patience, 0)
 	case wire.ActPushBack:
 		t.over = true
 		i.host.Refuse(policy.RequestID(a.Job), a.Time)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -222,6 +222,7 @@
 		Tick:           Millis(s.number("period_ms", 0)),
 		AskList:        s.text("discovery") == "ask",
 		AskWithin:      Millis(s.number("rules.ask_within_ms", 0)),
+		DrainGrace:     Millis(s.number("rules.stop_sending_within_ms", 0)),
 		ColdFrom:       s.number("rules.cold_from", 0),
 		ColdTime:       Millis(s.number("rules.cold_ms", 0)),
 		ColdMultiple:   s.number("rules.fall_multiple", 0),
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
+	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -11,33 +14,103 @@
 	"barleywick/internal/admission"
 )
 
-// clientConn is a client's connection. Closing it between requests and taking a
-// request from it exclude each other: net/http calls a connection idle until it
-// has read a request's header, and a client whose connection was closed meanwhile
-// sends the request once more. If the first one were taken all the same, an
-// unsafe request could run twice.
+// clientConn is a client's connection. Closing it between requests, reading from it
+// and taking a request from it exclude each other: net/http calls a connection idle
+// until it has read a request's header. A request that was read when its connection is
+// closed is lost, for its client takes it to be in work; one that was not, the client
+// sends once more, and if the first one were taken all the same, an unsafe request could
+// run twice.
 type clientConn struct {
 	*net.TCPConn
+	raw      syscall.RawConn // nil where there is none, as in tests
 	accepted time.Time
-	state    atomic.Int32
 	first    atomic.Bool // its first header is not whole yet
 	requests int         // whose headers were read; net/http serves one at a time
 	place    admission.Conn[*clientConn]
+
+	mu    sync.Mutex
+	state connState
+	heard bool // something was read that is of no request whose header was
+
+	// Of the one read under way; net/http never has two.
+	into   []byte
+	got    int
+	failed error
+	read   func(fd uintptr) bool
+	onRead func() // called in the middle of a read, in tests; nil: nothing is
 }
 
+type connState int
+
 const (
-	connIdle int32 = iota // between requests, or before the first
-	connBusy              // a request of it has been taken
+	connIdle connState = iota // between requests, or before the first
+	connBusy                  // a request of it has been taken
 	connClosed
 )
 
 func newClientConn(nc *net.TCPConn) *clientConn {
 	c := &clientConn{TCPConn: nc, accepted: time.Now()}
+	c.raw, _ = nc.SyscallConn()
+	c.read = c.readNow
 	c.first.Store(true)
 	c.place.Owner = c
 	return c
 }
 
+// Read reads what has come, unless the connection has been closed by then.
+func (c *clientConn) Read(b []byte) (int, error) {
+	if len(b) == 0 || c.raw == nil {
+		return c.TCPConn.Read(b)
+	}
+	c.into = b
+	err := c.raw.Read(c.read)
+	c.into = nil
+	switch {
+	case err != nil:
+		return 0, err
+	case c.failed != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: c.failed}
+	case c.got == 0:
+		return 0, io.EOF
+	}
+	return c.got, nil
+}
+
+// readNow reads without waiting, and says whether that is the end of it.
+func (c *clientConn) readNow(fd uintptr) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.got, c.failed = 0, nil
+	if c.state == connClosed {
+		c.failed = net.ErrClosed
+		return true
+	}
+	n, err := syscall.Read(int(fd), c.into)
+	for err == syscall.EINTR {
+		n, err = syscall.Read(int(fd), c.into)
+	}
+	if err == syscall.EAGAIN {
+		return false
+	}
+	if err != nil {
+		c.failed = os.NewSyscallError("read", err)
+		return true
+	}
+	if c.onRead != nil {
+		c.onRead()
+	}
+	c.got, c.heard = n, c.heard || n > 0
+	return true
+}
+
+// headRead takes that a request's header is whole.
+func (c *clientConn) headRead() {
+	c.first.Store(false)
+	c.mu.Lock()
+	c.heard = false
+	c.mu.Unlock()
+}
+
 // SetReadDeadline keeps the first header to its time from connecting, which
 // net/http counts from when it was handed the connection. That there is no
 // deadline any more it says when the header has come.
@@ -60,15 +133,38 @@
 
 // take is called before a request of the connection is acted on; if it returns
 // false the request must be left alone.
-func (c *clientConn) take() bool { return c.state.CompareAndSwap(connIdle, connBusy) }
+func (c *clientConn) take() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != connIdle {
+		return false
+	}
+	c.state, c.heard = connBusy, false
+	return true
+}
 
-// closeIdle closes the connection unless a request of it has been taken.
-func (c *clientConn) closeIdle() bool {
-	idle := c.state.CompareAndSwap(connIdle, connClosed)
-	if idle {
-		c.Close()
+// rest takes that the request which was taken is answered.
+func (c *clientConn) rest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connBusy {
+		c.state = connIdle
 	}
-	return idle
+}
+
+// closeIdle closes the connection unless a request of it has been taken or, where half
+// a request is no reason to, something of the next one has been read.
+func (c *clientConn) closeIdle(half bool) (state connState) {
+	c.mu.Lock()
+	state = c.state
+	if state == connIdle && (half || !c.heard) {
+		state, c.state = connClosed, connClosed
+	}
+	c.mu.Unlock()
+	if state == connClosed {
+		c.Close() // without the lock: it waits for who reads
+	}
+	return state
 }
 
 // awaitFirst waits until there is something to read, without reading it, or
@@ -77,13 +173,9 @@
 	if err := c.SetReadDeadline(c.accepted.Add(readHeaderIn)); err != nil {
 		return err
 	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return err
-	}
 	var n int
 	var failed error
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		n, _, failed = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return failed != syscall.EAGAIN && failed != syscall.EINTR
@@ -106,11 +198,7 @@
 // discardUnread reads what has come so far, without waiting for more: a connection
 // that is closed with bytes unread is reset, and its client may lose the answer.
 func (c *clientConn) discardUnread() {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return
-	}
-	raw.Control(func(fd uintptr) {
+	c.raw.Control(func(fd uintptr) {
 		b := make([]byte, unreadMost)
 		syscall.Recvfrom(int(fd), b, syscall.MSG_DONTWAIT)
 	})
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -29,7 +29,7 @@
 	await(t, "the idle connection's end", u.closed)
 	ups := &upstreams{pool: p}
 	req := &http.Request{Method: "GET", URL: mustURL("/"), Host: "x", Header: http.Header{"Request-Id": {"late"}}}
-	if _, _, wrote, err := ups.exchange(t.Context(), conns[1], req); err != errDrains || !wrote.IsZero() {
+	if _, _, wrote, err := ups.exchange(t.Context(), t.Context(), conns[1], req); err != errDrains || !wrote.IsZero() {
 		t.Errorf("on a connection that was taken before: written %v, error %v", wrote, err)
 	}
 	if got, _ := tryOnce(t.Context(), p, to); got != policy.NotSent {
--- a/internal/sidecar/explain.go
+++ b/internal/sidecar/explain.go
@@ -51,6 +51,7 @@
 		}
 	}
 	line("a change of the list counts as told after", "settings.rules.ask_within_ms", "%s", orNone(p.AskWithin))
+	line("sends to a server that drains stop within", "settings.rules.stop_sending_within_ms", "%s", orNone(p.DrainGrace))
 	line("a cold server", "settings.rules.cold_*, fall_multiple", "begins at %g of its capacity, is warm after %v, falls over at %g times what it can do",
 		p.ColdFrom, p.ColdTime, p.ColdMultiple)
 	line("connecting is given up after", "settings.caps.dial_timeout_ms", "%v", c.DialTimeout)
--- a/internal/sidecar/file.go
+++ b/internal/sidecar/file.go
@@ -143,6 +143,7 @@
 // FileRules are the figures of the rules.
 type FileRules struct {
 	AskWithinMS float64 `toml:"ask_within_ms" json:"ask_within_ms,omitempty" unit:"ms" default:"not known" doc:"without asking so long, a change of the list counts as told"`
+	StopMS      float64 `toml:"stop_sending_within_ms" json:"stop_sending_within_ms,omitempty" unit:"ms" default:"not known" doc:"sends to a server that drains or has gone have to stop in this time after the list says so"`
 	ColdFrom    float64 `toml:"cold_from" json:"cold_from" default:"0" doc:"the part of its capacity that a server begins with at least"`
 	ColdMS      float64 `toml:"cold_ms" json:"cold_ms" unit:"ms" default:"0" doc:"it has all of it after this"`
 	Multiple    float64 `toml:"fall_multiple" json:"fall_multiple" default:"0" doc:"sent more than this multiple of what it can do, a cold server falls over"`
@@ -242,7 +243,7 @@
 		value float64
 	}{
 		{"settings.caps.max_retry_after_ms", s.Caps.MaxPauseMS}, {"settings.caps.dial_timeout_ms", s.Caps.DialMS}, {"settings.caps.conn_idle_ms", s.Caps.ConnIdleMS},
-		{"settings.rules.ask_within_ms", s.Rules.AskWithinMS}, {"settings.rules.cold_ms", s.Rules.ColdMS}, {"settings.rules.fall_multiple", s.Rules.Multiple},
+		{"settings.rules.ask_within_ms", s.Rules.AskWithinMS}, {"settings.rules.stop_sending_within_ms", s.Rules.StopMS}, {"settings.rules.cold_ms", s.Rules.ColdMS}, {"settings.rules.fall_multiple", s.Rules.Multiple},
 		{"settings.charges.cross_zone", s.Charges.CrossZone}, {"limits.cores", f.Limits.Cores}, {"limits.memory_mb", float64(f.Limits.MemoryMB)},
 	} {
 		if !(v.value >= 0) {
--- a/internal/sidecar/file_test.go
+++ b/internal/sidecar/file_test.go
@@ -157,7 +157,7 @@
 func TestEachSettingIsRead(t *testing.T) {
 	for _, path := range []string{
 		"balancers=2", "zone=1", "discovery=ask", "caps.most_tries=9", "caps.may_cancel=true", "caps.probes=true", "caps.max_retry_after_ms=9",
-		"rules.ask_within_ms=9", "rules.cold_from=0.9", "rules.cold_ms=9", "rules.fall_multiple=9", "charges.cross_zone=9", "family_info.warm_keys=true", "client_habits.marks_retry=true",
+		"rules.ask_within_ms=9", "rules.stop_sending_within_ms=9", "rules.cold_from=0.9", "rules.cold_ms=9", "rules.fall_multiple=9", "charges.cross_zone=9", "family_info.warm_keys=true", "client_habits.marks_retry=true",
 		"classes.0.aim_ms=9", "classes.0.aim_stretch=9", "classes.0.hard_limit_ms=9", "classes.0.late_share=0.9", "classes.0.worth=9", "classes.0.semantics=free", "classes.0.dedup_scope=all", "classes.0.window_ms=9",
 		"orgs.0.share=9", "orgs.0.quota_per_s=9",
 	} {
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -267,9 +267,13 @@
 	if counter = &l.count.GivenUpSilent; p.Idle() {
 		counter = &l.count.GivenUpIdle
 	}
-	if !c.closeIdle() {
+	switch c.closeIdle(!p.Idle()) {
+	case connBusy:
 		l.table.Taken(p, now) // a moment ago
 		return nil, false
+	case connIdle:
+		l.table.Spoke(p, now) // its next request has begun to come
+		return nil, false
 	}
 	l.table.Remove(p)
 	return counter, true
@@ -293,7 +297,7 @@
 			case errors.Is(err, errVanished):
 				l.count.Vanished++
 			}
-			c.closeIdle()
+			c.closeIdle(true)
 			l.end(c)
 			l.mu.Unlock()
 			return
@@ -428,7 +432,7 @@
 
 // headRead takes that a request's header is whole.
 func (l *limitedListener) headRead(c *clientConn) {
-	c.first.Store(false)
+	c.headRead()
 	l.mu.Lock()
 	l.table.Head(&c.place)
 	l.serveWaiting(time.Now())
@@ -457,7 +461,7 @@
 	case http.StateActive:
 		l.table.Spoke(&c.place, now)
 	case http.StateIdle:
-		c.state.CompareAndSwap(connBusy, connIdle)
+		c.rest()
 		l.table.Rest(&c.place, now)
 		if l.draining {
 			l.drainIdle(now)
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -342,6 +342,9 @@
 func (l *loop) close(r *request) {
 	r.over = true
 	l.names.free(r.name)
+	for _, a := range r.attempts {
+		a.drop() // what was not written yet is not to be: nobody waits for it
+	}
 	if r.out == 0 {
 		delete(l.requests, r.id)
 	}
@@ -511,22 +514,25 @@
 }
 
 // Send starts an attempt.
-func (l *loop) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (l *loop) Send(id policy.RequestID, to policy.ServerID, timeout, start time.Duration) {
 	r, h := l.requests[id], l.byID[to]
 	if r == nil {
 		return
 	}
-	a := &attempt{req: r, number: len(r.attempts), began: time.Now()}
-	r.attempts = append(r.attempts, a)
-	r.out++
-	until := r.until
+	until, startBy := r.until, time.Time{}
 	if timeout != 0 {
 		if cut := time.Now().Add(timeout); cut.Before(until) {
 			until = cut
 		}
 	}
-	a.ctx, a.cancel = context.WithDeadline(l.life, until)
+	if start != 0 { // of the module's clock, which stands still in an event
+		startBy = l.begin.Add(l.now + start - time.Duration(l.begin.UnixNano()))
+	}
+	a := newAttempt(l.life, r, until, startBy)
+	r.attempts = append(r.attempts, a)
+	r.out++
 	if h == nil || r.over {
+		a.drop()
 		a.cancel()
 		l.local = append(l.local, ended{attempt: a, ending: policy.NotSent})
 		return
--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -251,9 +251,10 @@
 
 // tryOnce carries one attempt out over a pool of its own.
 func tryOnce(ctx context.Context, p *pool, to *peer) (policy.Ending, *answer) {
-	ctx, cancel := context.WithCancel(ctx)
 	r := &request{method: "POST", url: mustURL("/api"), host: "service.internal", header: http.Header{"Request-Id": {"x"}}, body: []byte("{}")}
-	return (&upstreams{pool: p}).try(&attempt{req: r, to: to, ctx: ctx, cancel: cancel})
+	a := newAttempt(ctx, r, time.Now().Add(time.Hour), time.Time{})
+	a.to = to
+	return (&upstreams{pool: p}).try(a)
 }
 
 // valid says whether a text is JSON, so that a test's own list cannot be wrong by a slip.
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -231,7 +231,11 @@
 		p.mu.Unlock()
 		return c, nil
 	}
-	if err := cmp.Or(to.closedTo(), p.life.Err(), ctx.Err()); err != nil {
+	err := cmp.Or(to.closedTo(), p.life.Err())
+	if err == nil && ctx.Err() != nil {
+		err = errLate
+	}
+	if err != nil {
 		p.mu.Unlock()
 		return nil, err
 	}
--- /dev/null
+++ b/internal/sidecar/races_test.go
@@ -0,0 +1,176 @@
+package sidecar
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"barleywick/internal/registry/registrytest"
+	"barleywick/policy"
+)
+
+// connected returns a client's end of a connection, and ours.
+func connected(t *testing.T) (net.Conn, *clientConn) {
+	t.Helper()
+	ln := listenLoopback(t)
+	far, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	near, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newClientConn(near.(*net.TCPConn))
+	t.Cleanup(func() { far.Close(); c.Close() })
+	return far, c
+}
+
+// A request that is being read in the moment in which its connection is to be closed as
+// idle is lost if the close goes through: its client takes it to be in work.
+func TestConnectionIsNotClosedOverWhatIsBeingRead(t *testing.T) {
+	far, c := connected(t)
+	reading, goOn := make(chan struct{}), make(chan struct{})
+	c.onRead = func() {
+		close(reading)
+		<-goOn
+	}
+	read := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 10))
+		read <- err
+	}()
+	far.Write([]byte("P"))
+	await(t, "the middle of the read", reading)
+	state := make(chan connState, 1)
+	go func() { state <- c.closeIdle(false) }()
+	close(goOn)
+	if got := await(t, "the close", state); got != connIdle {
+		t.Errorf("the connection is in state %d, want left alone", got)
+	}
+	if err := await(t, "the read", read); err != nil {
+		t.Errorf("what was read is lost: %v", err)
+	}
+	if c.closeIdle(false) != connIdle {
+		t.Error("closed as idle with half a request read")
+	}
+	if c.headRead(); c.closeIdle(false) != connClosed {
+		t.Error("not closed once that was answered")
+	}
+}
+
+// The other way round nothing is read any more: the client sends its request once more.
+func TestNothingIsReadFromAClosedConnection(t *testing.T) {
+	far, c := connected(t)
+	c.mu.Lock()
+	c.state = connClosed // the moment before its close
+	c.mu.Unlock()
+	far.Write([]byte("P"))
+	if n, err := c.Read(make([]byte, 10)); n != 0 || !errors.Is(err, net.ErrClosed) {
+		t.Errorf("read %d bytes and %v", n, err)
+	}
+}
+
+// Half a request gives way to others that wait, whole ones and those in work do not.
+func TestHalfARequestGivesWay(t *testing.T) {
+	far, c := connected(t)
+	far.Write([]byte("P"))
+	if _, err := c.Read(make([]byte, 10)); err != nil {
+		t.Fatal(err)
+	}
+	if got := c.closeIdle(true); got != connClosed {
+		t.Errorf("state %d with half a request, want closed", got)
+	}
+	_, busy := connected(t)
+	busy.take()
+	if got := busy.closeIdle(true); got != connBusy {
+		t.Errorf("state %d with a request in work", got)
+	}
+	if busy.rest(); busy.closeIdle(false) != connClosed {
+		t.Error("not closed once it rests")
+	}
+}
+
+// The time in which a request may be sent again is over while it waits for a connection.
+func TestRepeatKeepsToItsWindowAtTheWrite(t *testing.T) {
+	u := newUpstream(t, always(answer200("ok")))
+	p, to := testPool(1), &peer{addr: u.addr}
+	ups := &upstreams{pool: p}
+	out := connections(t, p, to, 1)[0]
+	r := &request{method: "POST", url: mustURL("/api"), host: "x", header: map[string][]string{"Request-Id": {"x"}}}
+	a := newAttempt(t.Context(), r, time.Now().Add(time.Hour), time.Now().Add(20*time.Millisecond))
+	a.to = to
+	if got, _ := ups.try(a); got != policy.NotSent {
+		t.Errorf("waiting for a connection: ending %v, want not sent", got)
+	}
+	p.put(out)
+	a = newAttempt(t.Context(), r, time.Now().Add(time.Hour), time.Now().Add(-time.Millisecond))
+	a.to = to
+	if got, _ := ups.try(a); got != policy.NotSent {
+		t.Errorf("with a connection: ending %v, want not sent", got)
+	}
+	a = newAttempt(t.Context(), r, time.Now().Add(time.Hour), time.Now().Add(time.Hour))
+	a.to = to
+	if got, _ := ups.try(a); got != policy.Served {
+		t.Errorf("in time: ending %v, want served", got)
+	}
+	if len(u.requests) != 1 {
+		t.Errorf("%d requests were written, want 1", len(u.requests))
+	}
+}
+
+// The window is checked between the choice of a connection and the write, too.
+func TestRepeatIsNotWrittenAfterItsWindow(t *testing.T) {
+	u := newUpstream(t, always(answer200("ok")))
+	p, to := testPool(1), &peer{addr: u.addr}
+	ups := &upstreams{pool: p}
+	c := connections(t, p, to, 1)[0]
+	r := &request{method: "POST", url: mustURL("/api"), host: "x", header: map[string][]string{"Request-Id": {"x"}}}
+	a := newAttempt(t.Context(), r, time.Now().Add(time.Hour), time.Now().Add(-time.Millisecond))
+	if _, _, written, err := ups.exchange(a.ctx, a.begin, c, r.outgoing(a.ctx)); err == nil || !written.IsZero() {
+		t.Errorf("written %v, error %v", written, err)
+	}
+	if len(u.requests) > 0 {
+		t.Error("it was written")
+	}
+}
+
+// A client leaves while its attempt waits for a connection. Where attempts may not be called
+// off, one that has not begun is still not to begin.
+func TestAttemptDoesNotBeginOnceItsClientHasGone(t *testing.T) {
+	u := newUpstream(t, always(answer200("ok")))
+	l := newTestLoop(t, registrytest.HostText("s-1", u.addr, "up", 0))
+	config := l.config.Policy
+	config.MayCancel = false
+	b, err := policy.New(config, 1, l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.b = b
+	b.Start(l.clock())
+	l.list(policy.ListFull, *l.config.Known)
+	l.up.pool = testPool(1)
+	defer l.up.pool.close()
+	to := l.hosts["s-1"].peer
+	out := connections(t, l.up.pool, to, 1)[0]
+	go l.run(t.Context())
+	r := &request{
+		name: "leaves", class: 2, method: "POST", url: mustURL("/api"), host: "x", header: map[string][]string{"Request-Id": {"leaves"}},
+		until: time.Now().Add(4 * time.Second), answer: make(chan answer, 1),
+	}
+	l.post(arrived{r})
+	eventually(t, "the attempt waits", func() bool { return waiters(l.up.pool) == 1 })
+	l.post(left{r})
+	handled := make(chan struct{})
+	l.post(ruled{done: handled})
+	await(t, "the loop", handled)
+	l.up.pool.put(out) // the attempt's turn, if it still waits
+	// The pool's one connection serves one after the other: the next request comes behind.
+	if got, _ := tryOnce(t.Context(), l.up.pool, to); got != policy.Served {
+		t.Errorf("the next attempt: ending %v", got)
+	}
+	if first := await(t, "a request", u.requests); first.Header.Get("Request-Id") == "leaves" {
+		t.Error("the attempt began although its client had gone")
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -63,7 +63,7 @@
 		loops.Wait()
 	}()
 	discovery := client.Options{
-		Addrs: c.discoveryAddrs(), Known: c.Known, Seed: c.Seed,
+		Addrs: c.discoveryAddrs(), Known: c.Known, Seed: c.Seed, Grace: c.Policy.DrainGrace,
 		Deliver: func(news client.Listing) { l.post(listed{news}) },
 	}
 	if c.Policy.AskList {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -91,15 +91,14 @@
 		return false
 	}
 	closed, open := newClientConn(&net.TCPConn{}), newClientConn(&net.TCPConn{})
-	closed.closeIdle()
+	closed.closeIdle(false)
 	if !serve(closed) || len(u.requests) > 0 {
 		t.Error("a request of a connection that was closed as idle was taken")
 	}
 	if serve(open) || len(u.requests) != 1 {
 		t.Error("a request of an open connection was not taken")
 	}
-	open.closeIdle()
-	if open.state.Load() != connBusy {
+	if open.closeIdle(true) != connBusy {
 		t.Error("a connection was closed under a request that had been taken")
 	}
 }
@@ -116,8 +115,8 @@
 	l, to := newTestLoop(t), &peer{addr: u.addr}
 	try := func(id string) policy.Ending {
 		r := &request{method: "GET", url: mustURL("/"), host: "x", header: http.Header{"Request-Id": {id}, "Idempotency-Key": {"k"}}}
-		a := &attempt{req: r, to: to}
-		a.ctx, a.cancel = t.Context(), func() {}
+		a := newAttempt(t.Context(), r, time.Now().Add(time.Hour), time.Time{})
+		a.to = to
 		ending, _ := l.up.try(a)
 		return ending
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -41,9 +41,24 @@
 	host   *host           // the loop's; nil where it was never sent
 	ctx    context.Context // ends when the attempt is given up
 	cancel context.CancelFunc
+	begin  context.Context // ends, with ctx or before it, when nothing may be written any more
+	drop   context.CancelFunc
 	began  time.Time
 }
 
+// newAttempt makes the next attempt of a request, given up at until. Its request is written
+// before start, where that is not zero, or not at all.
+func newAttempt(life context.Context, r *request, until, start time.Time) *attempt {
+	a := &attempt{req: r, number: len(r.attempts), began: time.Now()}
+	a.ctx, a.cancel = context.WithDeadline(life, until)
+	if start.IsZero() {
+		a.begin, a.drop = context.WithCancel(a.ctx)
+	} else {
+		a.begin, a.drop = context.WithDeadline(a.ctx, start)
+	}
+	return a
+}
+
 // answer is what a client gets.
 type answer struct {
 	status int
@@ -63,15 +78,16 @@
 // long as the request's last byte has not been written, it never ran.
 func (u *upstreams) try(a *attempt) (policy.Ending, *answer) {
 	defer a.cancel()
+	defer a.drop()
 	var resp *http.Response
 	var body []byte
 	var written time.Time
-	c, err := u.pool.get(a.ctx, a.to)
+	c, err := u.pool.get(a.begin, a.to)
 	if err == nil {
-		resp, body, written, err = u.exchange(a.ctx, c, a.req.outgoing(a.ctx))
+		resp, body, written, err = u.exchange(a.ctx, a.begin, c, a.req.outgoing(a.ctx))
 	}
 	switch wrote := !written.IsZero(); {
-	case err != nil && !wrote && unsent(a.ctx, err):
+	case err != nil && !wrote && unsent(a.begin, err):
 		return policy.NotSent, nil
 	case err != nil && !wrote:
 		return policy.NoConnection, nil
@@ -94,16 +110,17 @@
 // unsent says whether an attempt that got no connection is no word against the
 // upstream: nobody waited for it any more, the upstream drains or has left the
 // list, or the limits here had no connection to give.
-func unsent(ctx context.Context, err error) bool {
-	return errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errLate) || errors.Is(err, errBounded) ||
+func unsent(begin context.Context, err error) bool {
+	return errors.Is(begin.Err(), context.Canceled) || errors.Is(err, errLate) || errors.Is(err, errBounded) ||
 		errors.Is(err, errGone) || errors.Is(err, errDrains)
 }
 
 // exchange writes one request and reads the whole answer. It takes the
 // connection over: back to the pool where it can be used again, closed where
-// not, and closed at once when ctx ends. written is when the request's last byte
-// was to be written, or zero if it was not; else no upstream can have begun it.
-func (u *upstreams) exchange(ctx context.Context, c *conn, req *http.Request) (
+// not, and closed at once when ctx ends; nothing is written once begin has ended.
+// written is when the request's last byte was to be written, or zero if it was not;
+// else no upstream can have begun it.
+func (u *upstreams) exchange(ctx, begin context.Context, c *conn, req *http.Request) (
 	resp *http.Response, body []byte, written time.Time, err error,
 ) {
 	b := c.lend()
@@ -124,9 +141,10 @@
 	if err := req.Write(&b.out); err != nil {
 		return nil, nil, written, fmt.Errorf("build request: %w", err)
 	}
-	// An attempt that was called off by now must write nothing.
-	if err := ctx.Err(); err != nil {
-		return nil, nil, written, err
+	// An attempt that was called off by now must write nothing, nor may one whose time to
+	// begin is over: the timer that ends the context may be late, the clock is not.
+	if until, ok := begin.Deadline(); begin.Err() != nil || ok && !time.Now().Before(until) {
+		return nil, nil, written, errLate
 	}
 	// Nor may one to an upstream that was told to drain since it was chosen.
 	if err := u.pool.mayWrite(c.peer); err != nil {
@@ -218,7 +236,7 @@
 		Method: http.MethodGet, URL: &url.URL{Path: u.statsPath}, Host: to.addr,
 		Header: http.Header{"User-Agent": {""}},
 	}
-	resp, body, written, err := u.exchange(ctx, c, req)
+	resp, body, written, err := u.exchange(ctx, ctx, c, req)
 	if ctx.Err() != nil && !written.IsZero() {
 		u.pool.fellSilent(to, written)
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -190,7 +190,7 @@
 	}
 	c.Conn.(*net.TCPConn).SetWriteBuffer(4 << 10)
 	req := &http.Request{Method: "GET", URL: mustURL("/"), Host: "x", Header: http.Header{"X": {strings.Repeat("x", 16<<20)}}}
-	if _, _, wrote, err := u.exchange(ctx, c, req); err == nil || !wrote.IsZero() {
+	if _, _, wrote, err := u.exchange(ctx, ctx, c, req); err == nil || !wrote.IsZero() {
 		t.Errorf("wrote %v, error %v; want an unfinished write", wrote, err)
 	}
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -75,6 +75,8 @@
 	AskList   bool          // the server list must be asked for
 	AskWithin time.Duration // without asking this long, a change counts as told; 0: not known
 
+	DrainGrace time.Duration // in which sends to a server that drains or is gone have to stop
+
 	ColdFrom     float64       // a server starts with at least this share of its capacity
 	ColdTime     time.Duration // and has all of it after this
 	ColdMultiple float64       // sent more than this multiple of what it can do at that moment, it falls over
@@ -163,8 +165,9 @@
 // Host carries out what the Balancer decides. Its methods must not call back
 // into the Balancer.
 type Host interface {
-	// Send starts the next attempt of a request, given up after timeout.
-	Send(id RequestID, to ServerID, timeout time.Duration)
+	// Send starts the next attempt of a request, given up after timeout. One that cannot
+	// begin within start is not sent: what may have run may be repeated no later. 0: no such bound.
+	Send(id RequestID, to ServerID, timeout, start time.Duration)
 	// Refuse ends a request; trying again is harmless, best after the pause.
 	Refuse(id RequestID, pause time.Duration)
 	// Fail ends a request with no promise about its effect.
--- a/policy/ask.go
+++ b/policy/ask.go
@@ -14,9 +14,8 @@
 // when it is short of time, and the half of the balancers may have been cut off at once.
 const askEach = 40 * time.Millisecond
 
-// firstAsk bounds the first pause, spread to half as much again: what a silent watch missed
-// counts as told after 6 s, and drains end 3 s later; to notice the silence takes 3 s of that.
-const firstAsk = 3300 * time.Millisecond
+// What was missed counts as told after 6 s: a call takes 1, a tick 0.1, to notice a silent watch 3.
+const missed, noticed = 4900 * time.Millisecond, 3 * time.Second
 
 // ask subscribes to the list. Without any word it asks again before its silence counts as being told.
 func (b *Balancer) ask(now time.Duration) {
@@ -24,13 +23,14 @@
 	b.host.WatchList()
 }
 
-// askAgain sets the next call after one that failed, spread so that balancers do not act as one.
+// askAgain sets the next call after one that failed: spread, as one of many, and in time for what drains.
 func (b *Balancer) askAgain(now time.Duration) {
 	least := max(firstPause, askEach*time.Duration(b.cfg.Balancers))
-	pause := min(least<<min(b.askFails, 16), max(lastPause, b.cfg.AskWithin/2))
+	room := missed + b.cfg.DrainGrace
 	if b.askFails == 0 {
-		pause = min(pause, firstAsk)
+		room -= noticed
 	}
+	pause := min(least<<min(b.askFails, 2), room*2/3) // half as much again is the longest
 	b.askAt = now + time.Duration(float64(pause)*(0.5+b.rng.Float64()))
 	b.askFails++
 }
--- a/policy/ask_test.go
+++ b/policy/ask_test.go
@@ -40,29 +40,62 @@
 	}
 }
 
-// Guards against this: a watch falls silent, its balancer calls again as late as the sum of
-// all calls wants it, and sends to a server that drains more than 3 s after it counts as told.
-func TestTheFirstCallAfterASilentWatchComesInTime(t *testing.T) {
+// Guards against this: a watch falls silent or a call fails, its balancer calls again as late as
+// the sum of all calls wants it, and sends to a server that drains after the settings' grace.
+func TestCallsComeInTimeForWhatDrains(t *testing.T) {
 	const (
+		told    = 6 * time.Second // from when a watch fell silent, or discovery was back
 		noticed = 3 * time.Second // after the watch fell silent
-		mayStop = 9 * time.Second // 6 s until what it missed counts as told, and 3 s
+		takes   = time.Second     // a call, at most
 	)
-	for seed := range uint64(200) {
-		cfg := testConfig()
-		cfg.AskList, cfg.AskWithin, cfg.Balancers = true, 10*time.Second, 300
-		h := newFakeHost()
-		b, err := New(cfg, seed, h)
-		if err != nil {
-			t.Fatal(err)
+	for _, grace := range []time.Duration{300 * ms, 500 * ms, 1500 * ms, 3 * time.Second} {
+		for seed := range uint64(200) {
+			cfg := testConfig()
+			cfg.AskList, cfg.AskWithin, cfg.Balancers, cfg.DrainGrace = true, 10*time.Second, 300, grace
+			h := newFakeHost()
+			b, err := New(cfg, seed, h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Start(0)
+			now := noticed // the watch was silent from the start
+			for call := range 4 {
+				b.List(now, ListFailed, nil)
+				before, from := h.asks, now
+				if call == 0 {
+					from = 0
+				}
+				for ; h.asks == before && now < from+time.Minute; now += 10 * ms {
+					b.Wake(now)
+				}
+				if now-from > told+grace-takes+20*ms {
+					t.Fatalf("grace %v, seed %d: call %d comes %v after what it asks for may have happened", grace, seed, call, now-from)
+				}
+			}
 		}
-		b.Start(0)
-		b.List(noticed, ListFailed, nil)
-		before, now := h.asks, noticed
-		for ; h.asks == before && now < time.Minute; now += 10 * ms {
+	}
+}
+
+// Few balancers cost the list service little: a call that failed is made again soon, so that
+// one more that fails still leaves time.
+func TestFewBalancersCallAgainSoon(t *testing.T) {
+	cfg := testConfig()
+	cfg.AskList, cfg.AskWithin, cfg.Balancers, cfg.DrainGrace = true, 10*time.Second, 5, 500*ms
+	h := newFakeHost()
+	b, err := New(cfg, 1, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(0)
+	now := time.Duration(0)
+	for call := range 20 {
+		b.List(now, ListFailed, nil)
+		before, from := h.asks, now
+		for ; h.asks == before && now < from+time.Minute; now += 10 * ms {
 			b.Wake(now)
 		}
-		if now < noticed+firstAsk/2 || now > mayStop-500*ms {
-			t.Fatalf("seed %d: it calls again %v after its watch fell silent", seed, now)
+		if now-from > 1600*ms {
+			t.Fatalf("call %d comes %v after one that failed", call, now-from)
 		}
 	}
 }
--- a/policy/config.go
+++ b/policy/config.go
@@ -27,6 +27,7 @@
 		{"ColdMultiple", cfg.ColdMultiple}, {"CrossZonePrice", cfg.CrossZonePrice},
 		{"MaxRetryAfter", cfg.MaxRetryAfter.Seconds()}, {"Tick", cfg.Tick.Seconds()},
 		{"AskWithin", cfg.AskWithin.Seconds()}, {"ColdTime", cfg.ColdTime.Seconds()},
+		{"DrainGrace", cfg.DrainGrace.Seconds()},
 	} {
 		if bad(f.value) {
 			return fmt.Errorf("config: %s is %v, it must be a number and not negative", f.name, f.value)
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -10,7 +10,7 @@
 // sidecar is the program that embeds the module: it carries out its decisions.
 type sidecar struct{}
 
-func (sidecar) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (sidecar) Send(id policy.RequestID, to policy.ServerID, timeout, start time.Duration) {
 	fmt.Printf("send request %d, for at most %v\n", id, timeout)
 }
 func (sidecar) Refuse(id policy.RequestID, pause time.Duration) {
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -35,7 +35,7 @@
 	h.trace = append(h.trace, fmt.Sprintf(format, args...))
 }
 
-func (h *fakeHost) Send(id RequestID, to ServerID, timeout time.Duration) {
+func (h *fakeHost) Send(id RequestID, to ServerID, timeout, start time.Duration) {
 	h.sends = append(h.sends, sent{id, to, timeout})
 	h.note("send %d %d %v", id, to, timeout)
 }
@@ -107,6 +107,7 @@
 		MaxRetryAfter: time.Second,
 		Tick:          5 * ms,
 		AskWithin:     10 * time.Second,
+		DrainGrace:    3 * time.Second,
 		ColdFrom:      0.3,
 		ColdTime:      8 * time.Second,
 		ColdMultiple:  3,
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -291,6 +291,10 @@
 		return false
 	}
 	b.charge(now, r, s)
+	start := time.Duration(0)
+	if first := r.ran(); first != nil && r.class.Effect == Keyed {
+		start = first.sent + r.class.Window - now
+	}
 	r.attempts = append(r.attempts, attempt{to: s, sent: now})
 	r.out++
 	s.out++
@@ -298,7 +302,7 @@
 	if len(r.attempts) > 1 {
 		b.count.Retries++
 	}
-	b.host.Send(r.id, s.ID, r.useful-now)
+	b.host.Send(r.id, s.ID, r.useful-now, start)
 	return true
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -662,6 +662,7 @@
 		"ColdTime":      func(c *Config) { c.ColdTime = -1 },
 		"CrossZone":     func(c *Config) { c.CrossZonePrice = -1 },
 		"AskWithin":     func(c *Config) { c.AskWithin = -1 },
+		"DrainGrace":    func(c *Config) { c.DrainGrace = -1 },
 		"Tick":          func(c *Config) { c.Tick = -1 },
 		"Aim":           func(c *Config) { c.Classes[2].Aim = 0 },
 		"Deadline":      func(c *Config) { c.Classes[0].Deadline = -1 },
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -56,7 +56,7 @@
 	w.trace = append(w.trace, fmt.Sprintf(format, args...))
 }
 
-func (w *world) Send(id RequestID, to ServerID, timeout time.Duration) {
+func (w *world) Send(id RequestID, to ServerID, timeout, start time.Duration) {
 	w.note("send %d %d %v", id, to, timeout)
 	a, s := w.held[id], w.listed[to]
 	switch {
@@ -66,6 +66,8 @@
 		w.t.Fatalf("rule 3: attempt at server %d in state %d", to, s.State)
 	case timeout <= 0 || w.now+timeout > a.deadline:
 		w.t.Fatalf("rule 1: time-out %v at %v runs past the deadline %v", timeout, w.now, a.deadline)
+	case start < 0:
+		w.t.Fatalf("rule 2: attempt that is to begin %v before now", -start)
 	case len(a.tries) >= w.cfg.MaxAttempts:
 		w.t.Fatalf("attempt %d of at most %d", len(a.tries)+1, w.cfg.MaxAttempts)
 	}
@@ -76,6 +78,8 @@
 			w.t.Fatalf("rule 2: unsafe request %d sent again though it may have run", id)
 		case class.Effect == Keyed && w.now-first.sent >= class.Window:
 			w.t.Fatalf("rule 2: keyed request %d sent again %v after the first send", id, w.now-first.sent)
+		case class.Effect == Keyed && (start == 0 || w.now+start > first.sent+class.Window):
+			w.t.Fatalf("rule 2: keyed request %d may begin again within %v, %v after the first send", id, start, w.now-first.sent)
 		case class.Effect == Keyed && class.Scope == ScopeZone && s.Zone != first.to.Zone,
 			class.Effect == Keyed && class.Scope == ScopeCell && s.Cell != first.to.Cell:
 			w.t.Fatalf("rule 2: keyed request %d sent outside its group", id)
@@ -373,17 +377,22 @@
 		act        func(w *world)
 	}{
 		{"a second answer", "rule 1", func(w *world) { w.Fail(1); w.Fail(1) }},
-		{"a send after the answer", "rule 1", func(w *world) { w.Fail(1); w.Send(1, 1, ms) }},
+		{"a send after the answer", "rule 1", func(w *world) { w.Fail(1); w.Send(1, 1, ms, 0) }},
 		{"an answer far too late", "rule 1", func(w *world) { w.now += 3 * time.Second; w.Fail(1) }},
-		{"an unsafe request twice", "rule 2", func(w *world) { w.Send(1, 1, ms); w.Send(1, 1, ms) }},
-		{"a refusal of what may have run", "rule 2", func(w *world) { w.Send(1, 1, ms); w.Refuse(1, 0) }},
+		{"an unsafe request twice", "rule 2", func(w *world) { w.Send(1, 1, ms, 0); w.Send(1, 1, ms, 0) }},
+		{"a keyed request again after its window", "rule 2", func(w *world) {
+			w.held[1].q.Class = keyedAll
+			w.Send(1, 1, ms, 0)
+			w.Send(1, 1, ms, w.cfg.Classes[keyedAll].Window+ms)
+		}},
+		{"a refusal of what may have run", "rule 2", func(w *world) { w.Send(1, 1, ms, 0); w.Refuse(1, 0) }},
 		{"a burst to a cold server", "rule 4", func(w *world) {
 			for id := RequestID(10); id < 60; id++ {
 				w.held[id] = &asked{q: Request{ID: id}, deadline: w.now + time.Second}
-				w.Send(id, 3, ms)
+				w.Send(id, 3, ms, 0)
 			}
 		}},
-		{"a send to a draining server", "rule 3", func(w *world) { w.Send(1, 2, ms) }},
+		{"a send to a draining server", "rule 3", func(w *world) { w.Send(1, 2, ms, 0) }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/policy/rest.go
+++ b/policy/rest.go
@@ -5,12 +5,11 @@
 	"time"
 )
 
-// Rests: a server that answers from behind a queue is passed over for a while, as
-// in outlier ejection. Where own traffic is thin a balancer learns of its queue from
-// one answer alone; going on in turn, all balancers together keep the queue up. With
-// every slow answer the rest grows, with the first quick one it is over. So a jam of
-// some servers moves the traffic to others, first to those near and then to other
-// zones, and what all of them cannot bear is shed.
+// Rests: a server that answers from behind a queue is passed over for a while, as in outlier ejection.
+// Where own traffic is thin a balancer learns of its queue from one answer alone; going on in turn, all
+// balancers together keep the queue up. With every slow answer the rest grows, with the first quick one
+// it is over. So a jam of some servers moves the traffic to others, first to those near and then to
+// other zones, and what all of them cannot bear is shed.
 
 const (
 	// slowPart is the share of the aim after which an answer shows a queue: what is sent while
--- a/policy/silence.go
+++ b/policy/silence.go
@@ -6,10 +6,9 @@
 	"time"
 )
 
-// Silence: what neither answers nor breaks. When a machine vanishes or a zone is cut
-// off each request sent there is lost, and its slot with it, until it times out. So a
-// zone from which nothing comes any more is doubted as a whole, and a server that said
-// nothing gets probes, at a small part of a request's price, until it speaks.
+// Silence: what neither answers nor breaks. When a machine vanishes or a zone is cut off each request sent
+// there is lost, and its slot with it, until it times out. So a zone from which nothing comes any more is
+// doubted as a whole, and a server that said nothing gets probes, cheap beside a request, until it speaks.
 
 const (
 	// doubtSends attempts that are out for doubtPart of the aim, while their zone has
--- a/policy/turn.go
+++ b/policy/turn.go
@@ -11,9 +11,8 @@
 // those with much traffic overrun theirs, and cells may be large or not known.
 const keptLeast, keptMost = 1.0 / 6, 0.5
 
-// keep chooses the servers that this balancer keeps to where traffic is thin, as each
-// connection costs: of every cell the first in an order of its own, so that each key
-// finds its cell, and as many more as its traffic fills.
+// keep chooses the servers that this balancer keeps to where traffic is thin, as each connection costs: of
+// every cell the first in an order of its own, so that each key finds its cell, and as many as traffic fills.
 func (b *Balancer) keep(part float64) {
 	ready := slices.DeleteFunc(slices.Clone(b.servers), func(s *server) bool { return s.State != Ready })
 	order := func(s *server) uint64 { return mix(b.salt ^ mix(uint64(s.ID))) }
@@ -46,11 +45,10 @@
 	return 0
 }
 
-// pick is smooth weighted round robin over the ready servers: of the cell that has
-// the request's key warm, or the next one, where there are such; first over those
-// that this balancer keeps to, and then over all. A server loses its turn while it
-// holds its portion of our attempts (an inner wall), while it rests, is silent or is
-// judged unwell, but for a trial now and then, or if the request has been there already.
+// pick is smooth weighted round robin over the ready servers: of the cell that has the request's key
+// warm, or the next one, where there are such; first over those that this balancer keeps to, and then
+// over all. A server loses its turn while it holds its portion of our attempts (an inner wall), while it
+// rests, is silent or is judged unwell, but for a trial now and then, or if the request has been there.
 func (b *Balancer) pick(now time.Duration, r *request) *server {
 	far := b.far(now)
 	for near := b.cfg.CrossZonePrice > 0; ; near = false {
