Answers and requests in chunks, and answers that end with their connection, are served

Change: chunks count where the head surely names no length beside them (net/http drops it in silence, so the first bytes are kept as they came); an answer with neither ends with its connection's orderly end. The tests that wanted these broken now want them served; chunks beside a length stay refused, with further cases.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -62,7 +62,7 @@
 func (s *clients) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	c := hr.Context().Value(connKey{}).(*clientConn)
 	s.listener.headRead(c)
-	if status := framing(hr); status != 0 {
+	if status := framing(hr, c); status != 0 {
 		reject(w, hr, status)
 		return
 	}
@@ -142,15 +142,13 @@
 	io.CopyN(io.Discard, hr.Body, maxBody)
 }
 
-// framing names the status for a request whose length is not certain, or 0.
-// net/http drops the Content-Length beside a Transfer-Encoding: two readers of
-// such a request may see it end in two places, and what stands between them in
-// one's body is the other's next request. None of it may go on.
-func framing(hr *http.Request) int {
+// framing names the status for a request whose end is not certain, or 0: another
+// request may hide in its body, and none of it may go on.
+func framing(hr *http.Request, c *clientConn) int {
 	switch {
 	case !hr.ProtoAtLeast(1, 1): // there net/http drops a Transfer-Encoding in silence
 		return http.StatusHTTPVersionNotSupported
-	case len(hr.TransferEncoding) > 0:
+	case len(hr.TransferEncoding) > 0 && (strings.HasPrefix(hr.URL.Path, "/health/") || !c.chunksAlone(hr)):
 		return http.StatusLengthRequired
 	case hr.ContentLength > maxBody:
 		return http.StatusRequestEntityTooLarge
@@ -210,7 +208,9 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, http.StatusRequestTimeout
-	case err != nil:
+	case errors.Is(err, errTooLarge):
+		return nil, http.StatusRequestEntityTooLarge
+	case err != nil || effect == policy.Safe && len(body) > 0:
 		return nil, bad
 	}
 	if _, ok := h["User-Agent"]; !ok {
@@ -268,14 +268,20 @@
 	return max(sum.Sum64(), 1)
 }
 
-// readRequestBody reads a body of a known length.
+// readRequestBody reads a body whose end is known.
 func readRequestBody(w http.ResponseWriter, hr *http.Request, by time.Time) ([]byte, error) {
 	if hr.ContentLength == 0 {
 		return nil, nil
 	}
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(by)
-	body, err := readExactly(hr.Body, hr.ContentLength)
+	var body []byte
+	var err error
+	if hr.ContentLength > 0 {
+		body, err = readExactly(hr.Body, hr.ContentLength)
+	} else {
+		body, err = readToEnd(hr.Body, maxBody)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,7 @@
 	mu    sync.Mutex
 	state connState
 	heard bool // something was read that is of no request whose header was
+	heads tap  // what came first of the next request
 
 	// Of the one read under way; net/http never has two.
 	into   []byte
@@ -100,6 +102,7 @@
 		c.onRead()
 	}
 	c.got, c.heard = n, c.heard || n > 0
+	c.heads.note(c.into[:max(n, 0)])
 	return true
 }
 
@@ -111,6 +114,14 @@
 	c.mu.Unlock()
 }
 
+// chunksAlone says whether a request in chunks, whose header was just read, surely names no length.
+func (c *clientConn) chunksAlone(hr *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// What was read with the last request is not seen here: then it is some other head.
+	return c.heads.begins(hr.Method+" "+hr.RequestURI+" ") && c.heads.chunksAlone(1)
+}
+
 // SetReadDeadline keeps the first header to its time from connecting, which
 // net/http counts from when it was handed the connection. That there is no
 // deadline any more it says when the header has come.
@@ -140,6 +151,7 @@
 		return false
 	}
 	c.state, c.heard = connBusy, false
+	c.heads.restart()
 	return true
 }
 
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -51,7 +51,8 @@
 // buffers are what a connection needs while it carries a request and not while it is idle.
 type buffers struct {
 	limit io.LimitedReader // bounds what one answer may bring
-	r     *bufio.Reader    // reads through limit
+	heads tap              // what came first, read through limit
+	r     *bufio.Reader    // reads through heads
 	out   bytes.Buffer     // a request is gathered here, so that it goes out in one write
 }
 
@@ -67,8 +68,9 @@
 // lend gives a connection buffers for one exchange.
 func (c *conn) lend() *buffers {
 	b := spareBuffers.Get().(*buffers)
-	b.limit.R = c.Conn
-	b.r.Reset(&b.limit)
+	b.limit.R, b.heads.from = c.Conn, &b.limit
+	b.heads.restart()
+	b.r.Reset(&b.heads)
 	b.out.Reset()
 	c.buffers = b
 	return b
--- a/internal/sidecar/races_test.go
+++ b/internal/sidecar/races_test.go
@@ -1,8 +1,13 @@
 package sidecar
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -174,3 +179,48 @@
 		t.Error("the attempt began although its client had gone")
 	}
 }
+
+// A request in chunks that names no length beside them has a certain end, on a new
+// connection as on a kept one, and whatever comes in one piece or byte by byte.
+func TestRequestInChunksIsServed(t *testing.T) {
+	u := newUpstream(t, always(answer200("ok")))
+	addr, _, _ := startSidecar(t, testConfig(t, options{}, "127.0.0.1:1", registrytest.HostText("s-1", u.addr, "up", 0)))
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	answers := bufio.NewReader(c)
+	for i, piece := range []int{1 << 10, 1, 7} {
+		text := rawHead(fmt.Sprint("c-", i)) + "Transfer-Encoding: chunked\r\n\r\n5\r\nhoney\r\n4;x=y\r\n pot\r\n0\r\n\r\n"
+		for part := range slices.Chunk([]byte(text), piece) {
+			if _, err := c.Write(part); err != nil {
+				t.Fatal(err)
+			}
+		}
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		if resp.StatusCode != 200 || string(body) != "ok" {
+			t.Errorf("request %d: got %d %q", i, resp.StatusCode, body)
+		}
+		if r := await(t, "the request", u.requests); r.body != "honey pot" || r.ContentLength != 9 || len(r.TransferEncoding) > 0 {
+			t.Errorf("request %d: the upstream read %q, length %d, encoding %v", i, r.body, r.ContentLength, r.TransferEncoding)
+		}
+	}
+}
+
+// An answer without a length ends with its connection, but not with a reset.
+func TestResetIsNoEndOfAnAnswer(t *testing.T) {
+	u := newUpstream(t, func(r received) (string, bool) {
+		io.WriteString(r.conn, "HTTP/1.1 200 OK\r\n\r\nhoney")
+		r.conn.(*net.TCPConn).SetLinger(0) // its close is a reset
+		return "", true
+	})
+	if got, a := tryOnce(t.Context(), testPool(2), &peer{addr: u.addr}); got != policy.Broken {
+		t.Errorf("ending %v, answer %+v, want broken", got, a)
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -24,6 +24,7 @@
 const (
 	maxAnswerHead = 128 << 10 // interim answers included
 	maxAnswerBody = 1 << 20
+	maxAnswerWire = 2 * maxAnswerBody // chunks take room too
 )
 
 // trusted is how much is set aside for a body on the word of its length alone.
@@ -155,7 +156,8 @@
 		return nil, nil, written, fmt.Errorf("write request: %w", err)
 	}
 	written = begun
-	for informational := 0; ; informational++ {
+	informational := 0
+	for ; ; informational++ {
 		if resp, err = http.ReadResponse(b.r, req); err != nil {
 			return nil, nil, written, fmt.Errorf("read answer: %w", err)
 		}
@@ -166,7 +168,10 @@
 			return nil, nil, written, fmt.Errorf("read answer: unexpected status %d", resp.StatusCode)
 		}
 	}
-	b.limit.N = maxAnswerBody
+	if len(resp.TransferEncoding) > 0 && !b.heads.chunksAlone(informational+1) {
+		return nil, nil, written, errors.New("read answer: chunks, and it may name a length")
+	}
+	b.limit.N = maxAnswerWire
 	// The body is not closed: that would read on in one that is too large. What
 	// is not read to its end ends with its connection.
 	if body, err = readBody(resp); err != nil {
@@ -175,18 +180,28 @@
 	return resp, body, written, nil
 }
 
-// readBody reads an answer's body if the answer proves to be whole: by one
-// valid length of its own. net/http drops a Content-Length beside a
-// Transfer-Encoding, and the two may name different ends; a body that ends with
-// its connection may have been cut anywhere.
+var errTooLarge = errors.New("body too large")
+
+// readBody reads an answer's body if the answer proves to be whole: by its length, by
+// its last chunk, or, where it has neither, by its connection's orderly end. A reset is
+// no end, and neither is the bound on what is read.
 func readBody(resp *http.Response) ([]byte, error) {
-	switch n := resp.ContentLength; {
-	case len(resp.TransferEncoding) > 0 || n < 0:
-		return nil, errors.New("no length")
-	case n > maxAnswerBody:
-		return nil, errors.New("body too large")
+	if resp.ContentLength > maxAnswerBody {
+		return nil, errTooLarge
 	}
-	return readExactly(resp.Body, resp.ContentLength)
+	if resp.ContentLength >= 0 {
+		return readExactly(resp.Body, resp.ContentLength)
+	}
+	return readToEnd(resp.Body, maxAnswerBody)
+}
+
+// readToEnd reads what says itself where it ends, if that is most bytes or less.
+func readToEnd(r io.Reader, most int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, most+1))
+	if err == nil && int64(len(b)) > most {
+		err = errTooLarge
+	}
+	return b, err
 }
 
 // readExactly reads n bytes. A length that somebody claims takes little memory
