Traffic whose quota is not known is not held to be thin; queues are told by what a class takes

And without quotas each balancer had a cold server's pace to itself (coldGap), whose sum grows with the fleet. Change: without quotas the guide is what a server is taken to answer, shared among the balancers; what the quickest of a class take, followed slowly, is no queue where requests bring no hint; the cold pace without quotas is the servers', divided among its users.

--- a/policy/ask.go
+++ b/policy/ask.go
@@ -26,10 +26,7 @@
 // askAgain sets the next call after one that failed: spread, as one of many, and in time for what drains.
 func (b *Balancer) askAgain(now time.Duration) {
 	least := max(firstPause, askEach*time.Duration(b.cfg.Balancers))
-	room := missed + b.cfg.DrainGrace
-	if b.askFails == 0 {
-		room -= noticed
-	}
+	room := missed + b.cfg.DrainGrace - noticed*time.Duration(max(0, 1-b.askFails))
 	pause := min(least<<min(b.askFails, 2), room*2/3) // half as much again is the longest
 	b.askAt = now + time.Duration(float64(pause)*(0.5+b.rng.Float64()))
 	b.askFails++
--- a/policy/coldstart.go
+++ b/policy/coldstart.go
@@ -19,8 +19,7 @@
 	leastCharge, mostCharge = 0.5, 12.0
 )
 
-// mayWarm says whether a server is warm, or else has a part of its budget left for
-// a request of this balancer.
+// mayWarm says whether a server is warm, or else has some of its budget left for a request of this balancer.
 func (b *Balancer) mayWarm(now time.Duration, r *request, s *server) bool {
 	return now >= s.warmAt || (!b.shared && now >= s.coldAt && !b.spared(s) && b.workShare(r) <= mostCharge)
 }
@@ -58,7 +57,7 @@
 		users = max(1, users*b.users)
 	}
 	// The quotas are close to what all servers can do; without them one answer's time is the guide.
-	rate := cmp.Or(b.quota/users, 1/b.pace.Seconds())
+	rate := cmp.Or(b.quota, float64(len(b.servers))/b.pace.Seconds()) / users
 	rate *= s.Weight / max(b.weight, s.Weight) * coldPart * max(b.cfg.ColdMultiple, 1)
 	gap := float64(time.Second) / max(rate*b.warmth(now, s), 0.01)
 	return time.Duration(float64(time.Second) / max(rate*b.warmth(now+time.Duration(gap/2), s), 0.01))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,7 +38,7 @@
 	b.rng = rand.New(rand.NewPCG(seed, 0))
 	b.salt = b.rng.Uint64()
 	for _, c := range cfg.Classes {
-		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8})
+		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8, quick: c.Aim / 10})
 		b.aim += c.Aim.Seconds() / float64(len(cfg.Classes))
 	}
 	b.pace = time.Duration(b.aim / 8 * float64(time.Second))
@@ -76,10 +76,9 @@
 	b.wake(now, idleTick)
 }
 
-// Request takes a request on. It is answered exactly once, by an Outcome that
-// settles it or through the Host, before its time left is up. An id that is
-// still held is passed over; an unknown class or tenant, or no time left, is
-// refused at once.
+// Request takes a request on. It is answered exactly once, by an Outcome that settles it or through the Host,
+// before its time left is up. An id that is still held is passed over; an unknown class or tenant, or no time
+// left, is refused at once.
 func (b *Balancer) Request(now time.Duration, q Request) {
 	if _, held := b.requests[q.ID]; held {
 		return
@@ -329,7 +328,7 @@
 	}
 	b.forgetZones()
 	b.weigh(now)
-	rate := b.quota / float64(b.cfg.Balancers*max(1, len(b.servers)))
+	rate := cmp.Or(b.quota/float64(max(1, len(b.servers))), 8/b.aim) / float64(b.cfg.Balancers)
 	b.thin = b.cfg.MayProbe && rate < thinRate
 	b.keep(rate / thinRate)
 	b.feed(now)
