Settings that cannot be used are named by their place; a spoilt entry leaves its host as it was

Need: bad input gets a clear error and the old state is kept. 'config: Classes[1]: Aim 0s' told nobody which field to mend; a flag that is neither true nor false passed for false; an unknown way to discover for pushed lists; two classes of one name for one. An entry with one wrong field lost its name, and a whole list that left the name out took the host away. Tests: each wrong field; lists with spoilt entries.

--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -39,15 +39,23 @@
 	Health string  `json:"health"`
 	Share  float64 `json:"share"`
 	BornMS float64 `json:"born_ms"`
+	Spoilt bool    `json:"-"` // it names a host, and the rest cannot be read
 }
 
-// UnmarshalJSON keeps a wrong entry from spoiling the list it stands in: it is
-// left without a name, and such entries are passed over.
+// UnmarshalJSON keeps a wrong entry from spoiling the list it stands in: it keeps its
+// name alone, for a host that a whole list names has not gone, or none, and such entries
+// are passed over.
 func (e *Entry) UnmarshalJSON(text []byte) error {
 	type plain Entry
 	var p plain
 	if err := json.Unmarshal(text, &p); err != nil {
-		*e = Entry{}
+		var named struct {
+			Host string `json:"host"`
+		}
+		if json.Unmarshal(text, &named) != nil {
+			named.Host = ""
+		}
+		*e = Entry{Host: named.Host, Spoilt: true}
 		return nil
 	}
 	*e = Entry(p)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -136,7 +136,20 @@
 
 func (s *Settings) text(key string) string { return s.values[key] }
 
-func (s *Settings) flag(key string) bool { return s.values[key] == "true" }
+func (s *Settings) flag(key string) bool {
+	v := s.values[key]
+	if v != "" && v != "true" && v != "false" {
+		s.wrong("%s is %.40q, true or false is needed", key, v)
+	}
+	return v == "true"
+}
+
+// wrong notes the first value that cannot be.
+func (s *Settings) wrong(format string, args ...any) {
+	if s.err == nil {
+		s.err = fmt.Errorf("settings: "+format, args...)
+	}
+}
 
 func (s *Settings) number(key string, absent float64) float64 {
 	v, ok := s.values[key]
@@ -144,8 +157,8 @@
 		return absent
 	}
 	f, err := strconv.ParseFloat(v, 64)
-	if err != nil && s.err == nil {
-		s.err = fmt.Errorf("settings: %s: %w", key, err)
+	if err != nil {
+		s.wrong("%s: %w", key, err)
 	}
 	return f
 }
@@ -153,8 +166,8 @@
 func (s *Settings) count(key string) int {
 	const most = 1 << 16 // far above any real list; a guard against a broken figure
 	n := s.number(key, 0)
-	if (n < 0 || n > most || n != float64(int(n))) && s.err == nil {
-		s.err = fmt.Errorf("settings: %s: %v is not a count", key, n)
+	if n < 0 || n > most || n != float64(int(n)) {
+		s.wrong("%s: %v is not a count", key, n)
 		return 0
 	}
 	return int(n)
@@ -261,5 +274,39 @@
 			Quota: s.number(p+"quota_per_s", 0),
 		})
 	}
+	s.check(c)
 	return c, s.err
 }
+
+// check names what nothing can be built on, in the words of the settings. The module
+// checks the rest.
+func (s *Settings) check(c policy.Config) {
+	if c.Balancers < 1 {
+		s.wrong("balancers is %d, at least 1 is needed", c.Balancers)
+	}
+	if c.MaxAttempts < 1 {
+		s.wrong("caps.most_tries is %d, at least 1 is needed", c.MaxAttempts)
+	}
+	if how := s.text("discovery"); how != "" && how != "ask" && how != "push" {
+		s.wrong("discovery is %.40q; there are push and ask", how)
+	}
+	if len(c.Classes) == 0 {
+		s.wrong("classes is missing or empty, at least one class is needed")
+	}
+	for i, k := range c.Classes {
+		if k.Aim <= 0 {
+			s.wrong("classes.%d.aim_ms is %g, it must be above 0", i, k.Aim.Seconds()*1e3)
+		}
+		if k.Deadline <= 0 {
+			s.wrong("classes.%d.hard_limit_ms is %g, it must be above 0", i, k.Deadline.Seconds()*1e3)
+		}
+	}
+	for _, list := range []string{"classes", "orgs"} {
+		names := s.Names(list)
+		for i, name := range names {
+			if name != "" && slices.Contains(names[:i], name) {
+				s.wrong("%s.%d.name: %.40q is named twice", list, i, name)
+			}
+		}
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -153,3 +154,44 @@
 		}
 	}
 }
+
+// What nothing can be built on is named by its place in the settings.
+func TestUnusableSettingsAreNamed(t *testing.T) {
+	const good = `{"balancers":3,"caps":{"may_cancel":true,"most_tries":3},"discovery":"ask",
+		"classes":[{"name":"a","aim_ms":500,"hard_limit_ms":1000},{"name":"b","aim_ms":600,"hard_limit_ms":2500}]}`
+	read := func(text string) error {
+		s, err := ParseJSON([]byte(text))
+		if err != nil {
+			return err
+		}
+		_, err = s.Config()
+		return err
+	}
+	if err := read(good); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`"balancers":3`, `"balancers":"many"`, "balancers"},
+		{`"balancers":3`, `"balancers":0`, "balancers"},
+		{`"balancers":3,`, ``, "balancers"},
+		{`"may_cancel":true`, `"may_cancel":"perhaps"`, "caps.may_cancel"},
+		{`"may_cancel":true`, `"may_cancel":1`, "caps.may_cancel"},
+		{`,"most_tries":3`, ``, "caps.most_tries"},
+		{`{"may_cancel":true,"most_tries":3}`, `7`, "caps.most_tries"},
+		{`"discovery":"ask"`, `"discovery":"guess"`, "discovery"},
+		{`"aim_ms":600,`, ``, "classes.1.aim_ms"},
+		{`"aim_ms":600`, `"aim_ms":[600]x`, ""},
+		{`"hard_limit_ms":2500`, `"hard_limit_ms":-1`, "classes.1.hard_limit_ms"},
+		{`"hard_limit_ms":2500`, `"hard_limit_ms":{}`, "classes.1.hard_limit_ms"},
+		{`"name":"b"`, `"name":"a"`, "classes.1.name"},
+		{good[strings.Index(good, `[{"name"`) : len(good)-1], `[]`, "classes"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		if text == good {
+			t.Fatalf("%s is not in the settings", c.old)
+		}
+		if err := read(text); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: error %v, want one that names %s", c.new, err, c.want)
+		}
+	}
+}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -63,6 +64,29 @@
 	}
 }
 
+// A host whose entry cannot be read is still named: it stays as it was known, also in a
+// whole list, where what is not named has gone.
+func TestSpoiltEntryLeavesItsHostAsItWas(t *testing.T) {
+	drains := registrytest.HostText("s-2", "127.0.0.1:8", "draining", 0)
+	l := newTestLoop(t, registrytest.HostText("s-1", "127.0.0.1:7", "up", 0), drains, registrytest.HostText("s-3", "127.0.0.1:9", "up", 0))
+	var news client.Listing
+	text := valid(t, registrytest.ListText(2, true, `{"host":"s-1","dial":7,"health":"up"}`, `{"host":"s-2","dial":"127.0.0.1:8","health":"up","share":"x"}`,
+		`{"host":"s-9","dial":7,"health":"up"}`, registrytest.HostText("s-4", "nowhere", "up", 0)))
+	if err := json.Unmarshal([]byte(text), &news); err != nil {
+		t.Fatal(err)
+	}
+	l.list(policy.ListFull, news)
+	if h := l.hosts["s-1"]; h == nil || h.entry.Dial != "127.0.0.1:7" || h.drainAt != 0 {
+		t.Errorf("s-1 is %+v", h)
+	}
+	if h := l.hosts["s-2"]; h == nil || h.drainAt == 0 {
+		t.Errorf("s-2 is %+v, want it to drain still", h)
+	}
+	if l.hosts["s-3"] != nil || l.hosts["s-4"] != nil || l.hosts["s-9"] != nil || len(l.hosts) != 2 {
+		t.Errorf("hosts %v", l.hosts)
+	}
+}
+
 func TestEntriesBecomeServers(t *testing.T) {
 	l := newTestLoop(t)
 	enter := func(e client.Entry) policy.Server {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -405,11 +405,16 @@
 		if named[e.Host] && kind != policy.ListDelta {
 			slog.Warn("discovery: host listed twice", "host", e.Host)
 		}
-		if s, ok := l.enter(e); ok {
+		s, ok := l.enter(e)
+		if !ok && e.Health != "removed" {
+			slog.Warn("discovery: entry passed over", "host", e.Host, "dial", e.Dial, "health", e.Health, "spoilt", e.Spoilt)
+			if h := l.hosts[e.Host]; h != nil {
+				s, ok = l.enter(h.entry) // it stays as it was known
+			}
+		}
+		if ok {
 			named[e.Host] = true
 			servers = append(servers, s)
-		} else if e.Health != "removed" {
-			slog.Warn("discovery: entry passed over", "host", e.Host, "dial", e.Dial, "health", e.Health)
 		}
 	}
 	l.b.List(l.now, kind, servers)
@@ -470,7 +475,7 @@
 // enter takes one entry of the list over. A word for its health that is not
 // known means nothing new, as draining does.
 func (l *loop) enter(e client.Entry) (policy.Server, bool) {
-	if e.Host == "" {
+	if e.Host == "" || e.Spoilt {
 		return policy.Server{}, false
 	}
 	h := l.hosts[e.Host]
