Tests: a request read as the end begins; an unsafe one whose answer breaks off at each byte

Both on real sockets, the first with the read held until the end waits for it: it fails where closing does not look at what was read.

--- a/internal/sidecar/races_test.go
+++ b/internal/sidecar/races_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -267,3 +269,111 @@
 		t.Error("the request of a client that is there was not taken")
 	}
 }
+
+// A request is being read on a resting connection as the end begins: it is answered, and its
+// answer closes the connection.
+func TestRequestReadAsTheEndBeginsIsAnswered(t *testing.T) {
+	u := newUpstream(t, always(answer200("ok")))
+	l := newTestLoop(t, registrytest.HostText("s-1", u.addr, "up", 0))
+	go l.run(t.Context())
+	ln := listenLoopback(t)
+	limited := limitListener(ln, testLimits(4))
+	limited.begin()
+	defer limited.Close()
+	ending := newDrain(limited)
+	server := newClients(l.config, l, ending).server()
+	defer server.Close()
+	var reads atomic.Int32
+	reading, goOn := make(chan struct{}), make(chan struct{})
+	withRequest := server.ConnContext
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		c.(*clientConn).onRead = func() {
+			if reads.Add(1) == 2 { // the first one is the first request's
+				close(reading)
+				<-goOn
+			}
+		}
+		return withRequest(ctx, c)
+	}
+	go server.Serve(limited)
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	answers := bufio.NewReader(c)
+	ask := func(id string) { io.WriteString(c, rawHead(id)+"Content-Length: 0\r\n\r\n") }
+	answer := func() *http.Response {
+		t.Helper()
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		return resp
+	}
+	ask("first")
+	if got := answer(); got.StatusCode != 200 || got.Close {
+		t.Fatalf("before the end: %d, close %v", got.StatusCode, got.Close)
+	}
+	eventually(t, "it rests", func() bool { _, now := limited.counters(); return now.Idle == 1 })
+	ask("second")
+	await(t, "the middle of its read", reading)
+	begun := make(chan struct{})
+	go func() {
+		ending.begin()
+		close(begun)
+	}()
+	eventually(t, "the end holds the listener and waits for the read", func() bool {
+		free := limited.mu.TryLock() // nobody else wants it now
+		if free {
+			limited.mu.Unlock()
+		}
+		return !free
+	})
+	close(goOn)
+	if got := answer(); got.StatusCode != 200 || !got.Close {
+		t.Errorf("as the end begins: %d, close %v", got.StatusCode, got.Close)
+	}
+	await(t, "the end's beginning", begun)
+	if len(u.requests) != 2 {
+		t.Errorf("%d requests went upstream", len(u.requests))
+	}
+}
+
+// Wherever the answer to an unsafe request breaks off, it was sent once, and its client is
+// not told that it may try again.
+func TestUnsafeIsSentOnceWhereverItsAnswerBreaksOff(t *testing.T) {
+	whole := answer200("ok")
+	var most atomic.Int32
+	u := newUpstream(t, func(r received) (string, bool) {
+		io.WriteString(r.conn, whole[:most.Load()])
+		r.conn.(*net.TCPConn).SetLinger(0) // its close is a reset
+		return "", int(most.Load()) < len(whole)
+	})
+	addr, _, _ := startSidecar(t, testConfig(t, options{}, "127.0.0.1:1", registrytest.HostText("s-1", u.addr, "up", 0)))
+	tried := 0
+	for n := range len(whole) + 1 {
+		most.Store(int32(n))
+		got := call{class: "once", id: fmt.Sprint("cut-", n)}.do(t, addr)
+		want := http.StatusBadGateway
+		if n == len(whole) {
+			want = http.StatusOK
+		}
+		if got.status != want {
+			// A server that was broken lately gets no turn: that is no answer to what it would have cut.
+			if got.status != http.StatusServiceUnavailable || len(u.requests) > 0 {
+				t.Errorf("cut after %d bytes: %+v with %d attempts", n, got, len(u.requests))
+			}
+			continue
+		}
+		if r := await(t, "the attempt", u.requests); r.Header.Get("Request-Id") != fmt.Sprint("cut-", n) || len(u.requests) > 0 {
+			t.Errorf("cut after %d bytes: %s and %d more attempts", n, r.Header.Get("Request-Id"), len(u.requests))
+		}
+		tried++
+	}
+	if tried < len(whole)/2 {
+		t.Errorf("%d of %d places were tried", tried, len(whole)+1)
+	}
+}
