--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
@@ -249,6 +250,24 @@
 	return out
 }
 
+// handled gives a request to the client side's handler as one that was read from a
+// connection, and says whether it was left alone.
+func handled(t *testing.T, u *upstream) func(c *clientConn) (aborted bool) {
+	t.Helper()
+	l := newTestLoop(t, registrytest.HostText("s-1", u.addr, "up", 0))
+	go l.run(t.Context())
+	limited := limitListener(listenLoopback(t), testLimits(4))
+	limited.begin()
+	t.Cleanup(func() { limited.Close() })
+	s := newClients(l.config, l, newDrain(limited))
+	return func(c *clientConn) (aborted bool) {
+		defer func() { aborted = recover() == http.ErrAbortHandler }()
+		req := call{class: "once"}.request(t, "127.0.0.1:1")
+		s.ServeHTTP(httptest.NewRecorder(), req.WithContext(withConn(t.Context(), c)))
+		return false
+	}
+}
+
 // tryOnce carries one attempt out over a pool of its own.
 func tryOnce(ctx context.Context, p *pool, to *peer) (policy.Ending, *answer) {
 	r := &request{method: "POST", url: mustURL("/api"), host: "service.internal", header: http.Header{"Request-Id": {"x"}}, body: []byte("{}")}
--- a/internal/sidecar/races_test.go
+++ b/internal/sidecar/races_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -238,18 +237,7 @@
 // request is not sent on, although net/http has not noticed yet that nobody is there.
 func TestRequestOfAClientThatLeftUnreadIsNotSent(t *testing.T) {
 	u := newUpstream(t, always(answer200("ok")))
-	l := newTestLoop(t, registrytest.HostText("s-1", u.addr, "up", 0))
-	go l.run(t.Context())
-	limited := limitListener(listenLoopback(t), testLimits(4))
-	limited.begin()
-	defer limited.Close()
-	s := newClients(l.config, l, newDrain(limited))
-	serve := func(c *clientConn) (aborted bool) {
-		defer func() { aborted = recover() == http.ErrAbortHandler }()
-		req := call{class: "once"}.request(t, "127.0.0.1:1")
-		s.ServeHTTP(httptest.NewRecorder(), req.WithContext(withConn(t.Context(), c)))
-		return false
-	}
+	serve := handled(t, u)
 	for name, leave := range map[string]func(net.Conn){
 		"closed": func(far net.Conn) { far.Close() },
 		"reset":  func(far net.Conn) { far.(*net.TCPConn).SetLinger(0); far.Close() },
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -78,18 +77,7 @@
 // client sends it once more.
 func TestRequestOnAConnectionClosedAsIdleIsLeftAlone(t *testing.T) {
 	u := newUpstream(t, always(answer200("ok")))
-	l := newTestLoop(t, registrytest.HostText("s-1", u.addr, "up", 0))
-	go l.run(t.Context())
-	limited := limitListener(listenLoopback(t), testLimits(4))
-	limited.begin()
-	defer limited.Close()
-	s := newClients(l.config, l, newDrain(limited))
-	serve := func(c *clientConn) (aborted bool) {
-		defer func() { aborted = recover() == http.ErrAbortHandler }()
-		req := call{class: "once"}.request(t, "127.0.0.1:1")
-		s.ServeHTTP(httptest.NewRecorder(), req.WithContext(withConn(t.Context(), c)))
-		return false
-	}
+	serve := handled(t, u)
 	closed, open := newClientConn(&net.TCPConn{}), newClientConn(&net.TCPConn{})
 	closed.closeIdle(false)
 	if !serve(closed) || len(u.requests) > 0 {
