--- a/policy/health.go
+++ b/policy/health.go
@@ -27,7 +27,6 @@
 	switch end {
 	case Served:
 		r.class.pace += (took - r.class.pace) / 16
-		r.class.quick += max(-r.class.quick/16, min(r.class.quick/128, took-r.class.quick))
 		b.pace += (took - b.pace) / 32
 		b.answered(now, s)
 	case TimedOut:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,7 +38,7 @@
 	b.rng = rand.New(rand.NewPCG(seed, 0))
 	b.salt = b.rng.Uint64()
 	for _, c := range cfg.Classes {
-		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8, quick: c.Aim / 10})
+		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8})
 		b.aim += c.Aim.Seconds() / float64(len(cfg.Classes))
 	}
 	b.pace = time.Duration(b.aim / 8 * float64(time.Second))
--- a/policy/quota_test.go
+++ b/policy/quota_test.go
@@ -40,34 +40,6 @@
 	}
 }
 
-// Guards against this: a class whose answers always take a third of the aim, and whose requests
-// bring no hint of their work, passes for one that waits behind queues everywhere.
-func TestWhatAClassAlwaysTakesIsNoQueue(t *testing.T) {
-	const usual = 350 * ms // the aim is a second
-	b, _ := start(t, withoutQuotas(300), ready(1, 2, 3, 4))
-	now, id := time.Duration(0), RequestID(0)
-	one := func(took time.Duration) *server {
-		for { // one that is not shed
-			now, id = now+time.Second, id+1
-			ask(b, now, id, unsafeClass)
-			if r := b.requests[id]; r != nil && len(r.attempts) == 1 {
-				s := r.attempts[0].to
-				end(b, now+took, id, 0, Served)
-				return s
-			}
-		}
-	}
-	for range 300 {
-		one(usual)
-	}
-	if s := one(usual); b.resting(now+usual, s) || b.jam(now) > jamFrom {
-		t.Errorf("after 300 answers of %v the next one sends its server to rest, jam %.2f", usual, b.jam(now))
-	}
-	if s := one(3*usual + 200*ms); !b.resting(now+3*usual+200*ms, s) {
-		t.Error("an answer of several times the usual is no queue any more")
-	}
-}
-
 // Guards against this: without quotas each balancer keeps to a pace of its own towards a cold
 // server, and the sum of all grows with their number.
 func TestColdServersBudgetIsTheFleetsWithoutQuotas(t *testing.T) {
--- a/policy/rest.go
+++ b/policy/rest.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"cmp"
 	"math"
 	"time"
 )
@@ -17,7 +16,6 @@
 	// this one waits comes behind it. Without a queue most answers take a tenth.
 	slowPart  = 0.3
 	slowWork  = 2.0             // the multiple of a request's own expected work that is no queue
-	slowQuick = 3.0             // where that is not known, of what the quickest of its class take: slowPart for most
 	firstRest = time.Second     // a few times what working off such a queue takes, as others come too
 	restFor   = 4               // times an answer's own time the server rests at least: all sent there wait so long
 	lastRest  = 4 * time.Second // bounds how long a server that has recovered goes unused
@@ -31,8 +29,7 @@
 
 // queued learns from an attempt's end whether its server has a queue.
 func (b *Balancer) queued(now time.Duration, r *request, s *server, took time.Duration, end Ending) {
-	aim := float64(r.class.Aim)
-	part := (float64(took) - cmp.Or(slowWork*float64(r.work), max(0, slowQuick*float64(r.class.quick)-slowPart*aim))) / aim
+	part := (float64(took) - slowWork*float64(r.work)) / float64(r.class.Aim)
 	switch end {
 	case TurnedAway:
 		part = 1
--- a/policy/state.go
+++ b/policy/state.go
@@ -72,7 +72,6 @@
 type class struct {
 	Class
 	pace    time.Duration // usual time of an answer
-	quick   time.Duration // of the quickest: what one takes without a queue
 	longest time.Duration // the time left that first tries come with: the most seen, followed down
 }
 
