Without quotas a cold server's pace is one answer's time, shared once balancers outnumber servers

Divided among the users, few of 300 balancers where traffic is thin, each had more of a cold server than one answer's time allows. Change: the stricter of the two. Settings with quotas are not touched: there nothing changes.

--- a/policy/coldstart.go
+++ b/policy/coldstart.go
@@ -56,8 +56,9 @@
 	if b.thin {
 		users = max(1, users*b.users)
 	}
-	// The quotas are close to what all servers can do; without them one answer's time is the guide.
-	rate := cmp.Or(b.quota, float64(len(b.servers))/b.pace.Seconds()) / users
+	// The quotas are close to what all servers can do; without them one answer's time is the guide, for
+	// one balancer alone and for as many as there are servers.
+	rate := cmp.Or(b.quota/users, min(1, float64(len(b.servers))/users)/b.pace.Seconds())
 	rate *= s.Weight / max(b.weight, s.Weight) * coldPart * max(b.cfg.ColdMultiple, 1)
 	gap := float64(time.Second) / max(rate*b.warmth(now, s), 0.01)
 	return time.Duration(float64(time.Second) / max(rate*b.warmth(now+time.Duration(gap/2), s), 0.01))
--- a/policy/quota_test.go
+++ b/policy/quota_test.go
@@ -51,8 +51,11 @@
 		b.thin = false // all of them use it
 		return float64(balancers) / b.coldGap(time.Second, b.server(1)).Seconds()
 	}
-	few, many := sum(3), sum(30)
+	few, many := sum(8), sum(80) // of 8 servers
 	if many > few*1.3 || few <= 0 {
-		t.Errorf("30 balancers send %.1f a second to a cold server, 3 send %.1f", many, few)
+		t.Errorf("80 balancers send %.1f a second to a cold server, 8 send %.1f", many, few)
+	}
+	if alone := sum(1); alone > few {
+		t.Errorf("one balancer alone sends %.1f a second to a cold server, 8 send %.1f", alone, few)
 	}
 }
