A request half read as the listener is given away keeps its slot in the old process

The old process's own count at its end says `Refused:1 Shed:0` with 18 slots and two clients, and `finishing connections=1`: nothing was full, late or shed. Ruled out: slots lent to the new process (it had 16 left), a drain (no server was told then). Leave (policy/takeover.go) kept slots for what the module had, and a request that was being read, or on its way from its connection to the loop, as the listener was given away came after it and found none. Since reads exclude closes such a request is taken and not thrown away, so it has to be served.

Change: Leave is told how many requests may still be coming: open connections that spoke, or are in their grace to speak, less the requests that the loop holds. The new process does without those slots.

Tests: TestRequestHalfReadAsTheListenerIsGivenAwayIsServed holds half a request back until the place is given away; it got 503 without the change. TestWhatIsComingKeepsItsSlot is the module's part.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -176,6 +176,15 @@
 	return at
 }
 
+// Mute returns how many connections have said nothing although their grace to speak is over.
+// Unlike all else here it takes time in their number.
+func (t *Table[T]) Mute(now time.Time) (mute int) {
+	for n := t.silent.Front(); n != nil && now.Sub(n.Value.since) >= t.grace.Speak; n = n.Next() {
+		mute++
+	}
+	return mute
+}
+
 // Excess returns an idle connection to close because there are too many, or nil:
 // the longest idle of the address that holds the most.
 func (t *Table[T]) Excess() *Conn[T] {
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -481,6 +481,14 @@
 	return l.taken
 }
 
+// speaking returns how many of them may bring a request or have brought one: those that
+// said nothing in their grace are not counted.
+func (l *limitedListener) speaking() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.taken - l.table.Mute(time.Now())
+}
+
 // listenerState is what is open at a moment.
 type listenerState struct{ Open, HalfOpen, Idle, Waiting int }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -107,6 +107,12 @@
 	n.mu.Unlock()
 }
 
+func (n *names) count() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.held)
+}
+
 func (n *names) has(name string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -135,7 +141,9 @@
 	policy func() PolicyState                        // how it stands towards the fleet's policy; nil: there is none
 	tally  []overload.Count                          // what came of requests since the last digest, by tenant; nil: nobody is told
 	note   func(status int, took, aim time.Duration) // counts the end of a request; may be nil
-	gate   func() bool                               // whether a new request may be taken; nil: any may
+	// speaking is how many client connections are open that may have something to say; nil: none.
+	speaking func() int
+	gate     func() bool // whether a new request may be taken; nil: any may
 
 	silent func(host string) // tells the fleet of a server that does not answer; nil: nobody is told
 
@@ -222,6 +230,15 @@
 	}
 }
 
+// stillComing is how many requests may come to this process although another takes its
+// place: some are being read, or wait for this loop, as the listener is given away.
+func (l *loop) stillComing() int {
+	if l.speaking == nil {
+		return 0
+	}
+	return max(0, l.speaking()-l.names.count())
+}
+
 // run handles events until ctx ends, and then ends all that is under way.
 func (l *loop) run(ctx context.Context) {
 	defer l.tasks.Wait()
@@ -296,7 +313,7 @@
 	case listFailed:
 		l.b.List(l.now, policy.ListFailed, nil)
 	case leaving:
-		e.held <- l.b.Leave()
+		e.held <- l.b.Leave(l.stillComing())
 	case beside:
 		l.b.Beside(l.now, e.held)
 	case asked:
--- a/internal/sidecar/races_test.go
+++ b/internal/sidecar/races_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -258,33 +259,79 @@
 	}
 }
 
-// A request is being read on a resting connection as the end begins: it is answered, and its
-// answer closes the connection.
-func TestRequestReadAsTheEndBeginsIsAnswered(t *testing.T) {
-	u := newUpstream(t, always(answer200("ok")))
+// parts runs a sidecar's client side and its loop, whose parts a test needs at hand. onRead is
+// called in the middle of each read from a client.
+func parts(t *testing.T, u *upstream, onRead func()) (*loop, *limitedListener, *drain) {
+	t.Helper()
 	l := newTestLoop(t, registrytest.HostText("s-1", u.addr, "up", 0))
-	go l.run(t.Context())
-	ln := listenLoopback(t)
-	limited := limitListener(ln, testLimits(4))
-	limited.begin()
-	defer limited.Close()
+	limited := limitListener(listenLoopback(t), testLimits(4))
+	l.speaking = limited.speaking
 	ending := newDrain(limited)
 	server := newClients(l.config, l, ending).server()
-	defer server.Close()
-	var reads atomic.Int32
-	reading, goOn := make(chan struct{}), make(chan struct{})
 	withRequest := server.ConnContext
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		c.(*clientConn).onRead = func() {
-			if reads.Add(1) == 2 { // the first one is the first request's
-				close(reading)
-				<-goOn
-			}
-		}
+		c.(*clientConn).onRead = onRead
 		return withRequest(ctx, c)
 	}
-	go server.Serve(limited)
-	c, err := net.Dial("tcp", ln.Addr().String())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { l.run(t.Context()) })
+	tasks.Go(func() { server.Serve(limited) })
+	limited.begin()
+	t.Cleanup(func() { // the loop's context has ended by now
+		server.Close()
+		limited.Close()
+		tasks.Wait()
+	})
+	return l, limited, ending
+}
+
+// A request is half read as another process takes this one's place. It is this one's still, and
+// has its slot here: it is served, and not refused for slots that were given away under it.
+func TestRequestHalfReadAsTheListenerIsGivenAwayIsServed(t *testing.T) {
+	u := newUpstream(t, always(answer200("ok")))
+	l, limited, ending := parts(t, u, nil)
+	c, err := net.Dial("tcp", limited.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	io.WriteString(c, rawHead("half")+"Content-Length: 4\r\n\r\nho")
+	eventually(t, "its header is read", func() bool {
+		_, now := limited.counters()
+		return now.Open == 1 && now.HalfOpen == 0
+	})
+	if err := ending.hand(); err != nil {
+		t.Fatal(err)
+	}
+	if held := l.leave(); len(held) == 0 || held[0].Slots != 1 {
+		t.Errorf("it keeps %v, want a slot for what is being read", held)
+	}
+	io.WriteString(c, "ld")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Fatalf("answered %+v, error %v; want 200 and the end", resp, err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	await(t, "the end of its connection", limited.gone)
+	if held := l.leave(); len(held) == 0 || held[0] != (policy.Held{}) {
+		t.Errorf("it keeps %v at the end", held)
+	}
+}
+
+// A request is being read on a resting connection as the end begins: it is answered, and its
+// answer closes the connection.
+func TestRequestReadAsTheEndBeginsIsAnswered(t *testing.T) {
+	u := newUpstream(t, always(answer200("ok")))
+	var reads atomic.Int32
+	reading, goOn := make(chan struct{}), make(chan struct{})
+	_, limited, ending := parts(t, u, func() {
+		if reads.Add(1) == 2 { // the first one is the first request's
+			close(reading)
+			<-goOn
+		}
+	})
+	c, err := net.Dial("tcp", limited.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -77,6 +77,7 @@
 	var ruled *rollout.Document
 	governed, dismiss := context.WithCancel(run)
 	defer dismiss()
+	l.speaking = limited.speaking
 	l.report = func() {
 		limited.report()
 		pool.report()
--- a/policy/govern_test.go
+++ b/policy/govern_test.go
@@ -54,7 +54,7 @@
 		t.Errorf("without a rule: %d slots, %d places, %d attempts", b.SlotsFree(0), b.QueueFree(0), b.cfg.MaxAttempts)
 	}
 	// A process that leaves its place to another never grows again.
-	held := b.Leave()
+	held := b.Leave(0)
 	b.Govern(now, Rule{})
 	if b.SlotsFree(0) != 0 || held[0] != (Held{}) {
 		t.Errorf("a process that leaves has %d slots, and said %v", b.SlotsFree(0), held)
--- a/policy/takeover.go
+++ b/policy/takeover.go
@@ -5,15 +5,16 @@
 // Take-over: a new process takes a sidecar's place while the old one still has requests. Both
 // are one balancer to the servers: its slots, queue places and part of a cold server's budget.
 
-// Leave gives up what this Balancer does not need to end what it has, and returns what it keeps,
-// by tenant; that never grows again. Cold servers get nothing more: their budget is the other's.
-func (b *Balancer) Leave() []Held {
+// Leave gives up what this Balancer does not need to end what it has and what may be coming to it still,
+// so many requests of any tenant, and returns what it keeps, by tenant; that never grows again. Cold
+// servers get nothing more: their budget is the other's.
+func (b *Balancer) Leave(coming int) []Held {
 	b.shared, b.leaving = true, true
 	held := make([]Held, len(b.parts))
 	for i := range b.parts {
 		c := &b.parts[i]
-		c.slots = min(c.slots, c.used+len(c.queue))
-		c.places = min(c.places, len(c.queue))
+		c.slots = min(c.slots, c.used+len(c.queue)+coming)
+		c.places = min(c.places, len(c.queue)+coming)
 		held[i] = Held{c.slots, c.places}
 	}
 	return held
--- a/policy/takeover_test.go
+++ b/policy/takeover_test.go
@@ -39,7 +39,7 @@
 			request(old)
 		}
 		collect(old, oldHost)
-		fresh.Beside(now, old.Leave())
+		fresh.Beside(now, old.Leave(rng.IntN(3)))
 		var late [][]Held // on their way
 		for range 300 {
 			now += ms
@@ -60,7 +60,7 @@
 					end(f.b, now, f.id, f.attempt, ending)
 				}
 			case 4:
-				late = append(late, old.Leave())
+				late = append(late, old.Leave(rng.IntN(3)))
 				if rng.IntN(2) == 0 {
 					fresh.Beside(now, late[0])
 					late = late[1:]
@@ -87,6 +87,24 @@
 	}
 }
 
+// What is coming to the old process still has its slot there and a place where there is no slot, never
+// more than there were; the new one does without.
+func TestWhatIsComingKeepsItsSlot(t *testing.T) {
+	old, h := start(t, testConfig(), ready(1, 2, 3))
+	had := old.parts[0].slots
+	if held := old.Leave(2); held[0] != (Held{2, min(2, old.walls[0].Places)}) {
+		t.Errorf("it keeps %v for two that are coming", held[0])
+	}
+	ask(old, 0, 1, safeClass)
+	ask(old, 0, 2, safeClass)
+	if len(h.sends) != 2 || len(h.refused) != 0 {
+		t.Errorf("%d sent and %d refused of two that were coming", len(h.sends), len(h.refused))
+	}
+	if held := old.Leave(1000); held[0].Slots != 2 {
+		t.Errorf("what it keeps has grown to %v of %d", held[0], had)
+	}
+}
+
 // A cold server gets nothing from either while both live, and afterwards no more
 // than its budget, whatever the old process sent it last.
 func TestTwoProcessesKeepToOneColdBudget(t *testing.T) {
@@ -97,7 +115,7 @@
 	fresh, freshHost := start(t, testConfig(), nil)
 	old.List(now, ListFull, cold)
 	fresh.List(now, ListFull, cold)
-	fresh.Beside(now, old.Leave())
+	fresh.Beside(now, old.Leave(0))
 	for i := range 30 {
 		id := RequestID(i + 1)
 		for b, h := range map[*Balancer]*fakeHost{old: oldHost, fresh: freshHost} {
