Every setting that the module would refuse is named in the settings' own words

Change: amounts are read by one function that wants a number, not negative and not endless; shares of all tenants and the cold share are checked beside the rest. What is refused is what was refused before. Test: TestUnusableSettingsAreNamed has ten more rows, of which nine fail without the change.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -163,6 +163,15 @@
 	return f
 }
 
+// amount reads a number that is none below 0; a missing one is 0.
+func (s *Settings) amount(key string) float64 {
+	f := s.number(key, 0)
+	if !(f >= 0) || math.IsInf(f, 1) {
+		s.wrong("%s is %v, a number that is not negative is needed", key, f)
+	}
+	return f
+}
+
 func (s *Settings) count(key string) int {
 	const most = 1 << 16 // far above any real list; a guard against a broken figure
 	n := s.number(key, 0)
@@ -229,27 +238,27 @@
 		MayCancel:      s.flag("caps.may_cancel"),
 		MayProbe:       s.flag("caps.probes"),
 		Reports:        s.flag("caps.probes") && s.text("telemetry.how") != "silent",
-		MaxRetryAfter:  Millis(s.number("caps.max_retry_after_ms", 0)),
+		MaxRetryAfter:  Millis(s.amount("caps.max_retry_after_ms")),
 		WarmKeys:       s.flag("family_info.warm_keys"),
 		MarksRepeat:    s.flag("client_habits.marks_retry"),
-		Tick:           Millis(s.number("period_ms", 0)),
+		Tick:           Millis(s.amount("period_ms")),
 		AskList:        s.text("discovery") == "ask",
-		AskWithin:      Millis(s.number("rules.ask_within_ms", 0)),
-		DrainGrace:     Millis(s.number("rules.stop_sending_within_ms", 0)),
-		ColdFrom:       s.number("rules.cold_from", 0),
-		ColdTime:       Millis(s.number("rules.cold_ms", 0)),
-		ColdMultiple:   s.number("rules.fall_multiple", 0),
-		CrossZonePrice: s.number("charges.cross_zone", 0),
+		AskWithin:      Millis(s.amount("rules.ask_within_ms")),
+		DrainGrace:     Millis(s.amount("rules.stop_sending_within_ms")),
+		ColdFrom:       s.amount("rules.cold_from"),
+		ColdTime:       Millis(s.amount("rules.cold_ms")),
+		ColdMultiple:   s.amount("rules.fall_multiple"),
+		CrossZonePrice: s.amount("charges.cross_zone"),
 	}
 	for i := range s.count("classes.count") {
 		p := fmt.Sprintf("classes.%d.", i)
 		k := policy.Class{
-			Aim:        Millis(s.number(p+"aim_ms", 0)),
-			AimStretch: s.number(p+"aim_stretch", 0),
-			Deadline:   Millis(s.number(p+"hard_limit_ms", 0)),
-			LateShare:  s.number(p+"late_share", 0),
-			Worth:      s.number(p+"worth", 0),
-			Window:     Millis(s.number(p+"window_ms", 0)),
+			Aim:        Millis(s.amount(p + "aim_ms")),
+			AimStretch: s.amount(p + "aim_stretch"),
+			Deadline:   Millis(s.amount(p + "hard_limit_ms")),
+			LateShare:  s.amount(p + "late_share"),
+			Worth:      s.amount(p + "worth"),
+			Window:     Millis(s.amount(p + "window_ms")),
 			Effect:     policy.Unsafe, // an unknown word is taken for the strictest
 			Scope:      policy.ScopeCell,
 		}
@@ -270,16 +279,15 @@
 	for i := range s.count("orgs.count") {
 		p := fmt.Sprintf("orgs.%d.", i)
 		c.Tenants = append(c.Tenants, policy.Tenant{
-			Share: s.number(p+"share", 0),
-			Quota: s.number(p+"quota_per_s", 0),
+			Share: s.amount(p + "share"),
+			Quota: s.amount(p + "quota_per_s"),
 		})
 	}
 	s.check(c)
 	return c, s.err
 }
 
-// check names what nothing can be built on, in the words of the settings. The module
-// checks the rest.
+// check names what nothing can be built on, in the words of the settings and not in the module's.
 func (s *Settings) check(c policy.Config) {
 	if c.Balancers < 1 {
 		s.wrong("balancers is %d, at least 1 is needed", c.Balancers)
@@ -301,6 +309,16 @@
 			s.wrong("classes.%d.hard_limit_ms is %g, it must be above 0", i, k.Deadline.Seconds()*1e3)
 		}
 	}
+	if c.ColdFrom > 1 {
+		s.wrong("rules.cold_from is %g, a share is needed", c.ColdFrom)
+	}
+	shares := 0.0
+	for _, t := range c.Tenants {
+		shares += t.Share
+	}
+	if len(c.Tenants) > 0 && !(shares > 0) || math.IsInf(shares, 1) {
+		s.wrong("orgs: the share of all adds up to %g, it must be above 0", shares)
+	}
 	for _, list := range []string{"classes", "orgs"} {
 		names := s.Names(list)
 		for i, name := range names {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -158,6 +158,8 @@
 // What nothing can be built on is named by its place in the settings.
 func TestUnusableSettingsAreNamed(t *testing.T) {
 	const good = `{"balancers":3,"caps":{"may_cancel":true,"most_tries":3},"discovery":"ask",
+		"rules":{"cold_from":0.3,"cold_ms":9000,"fall_multiple":3,"stop_sending_within_ms":500,"ask_within_ms":4000},
+		"orgs":[{"name":"x","share":0.4,"quota_per_s":7},{"name":"y","share":0.6,"quota_per_s":9}],"charges":{"cross_zone":0.02},
 		"classes":[{"name":"a","aim_ms":500,"hard_limit_ms":1000},{"name":"b","aim_ms":600,"hard_limit_ms":2500}]}`
 	read := func(text string) error {
 		s, err := ParseJSON([]byte(text))
@@ -184,7 +186,17 @@
 		{`"hard_limit_ms":2500`, `"hard_limit_ms":-1`, "classes.1.hard_limit_ms"},
 		{`"hard_limit_ms":2500`, `"hard_limit_ms":{}`, "classes.1.hard_limit_ms"},
 		{`"name":"b"`, `"name":"a"`, "classes.1.name"},
-		{good[strings.Index(good, `[{"name"`) : len(good)-1], `[]`, "classes"},
+		{good[strings.Index(good, `[{"name":"a"`) : len(good)-1], `[]`, "classes"},
+		{`"cold_from":0.3`, `"cold_from":1.5`, "rules.cold_from"},
+		{`"cold_from":0.3`, `"cold_from":-0.3`, "rules.cold_from"},
+		{`"cold_ms":9000`, `"cold_ms":"soon"`, "rules.cold_ms"},
+		{`"fall_multiple":3`, `"fall_multiple":"Inf"`, "rules.fall_multiple"},
+		{`"stop_sending_within_ms":500`, `"stop_sending_within_ms":-1`, "rules.stop_sending_within_ms"},
+		{`"ask_within_ms":4000`, `"ask_within_ms":"NaN"`, "rules.ask_within_ms"},
+		{`"cross_zone":0.02`, `"cross_zone":-2`, "charges.cross_zone"},
+		{`"quota_per_s":9`, `"quota_per_s":-9`, "orgs.1.quota_per_s"},
+		{`"share":0.4`, `"share":-0.4`, "orgs.0.share"},
+		{`"share":0.4,"quota_per_s":7},{"name":"y","share":0.6`, `"share":0,"quota_per_s":7},{"name":"y","share":0`, "orgs"},
 	} {
 		text := strings.Replace(good, c.old, c.new, 1)
 		if text == good {
