Thin traffic keeps to its servers without a price for zones; cut first tries are not late

In the quiet first 2.5 s 11 % of the attempts time out, at 20 of 200 servers: after a time-out there the next attempt times out in 0.79 of the cases, else in 0.03 (1,277 and 9,383 pairs). Each sidecar went over all 200 servers and met one in 13 s, where a rest lasts 4: nobody learnt anything, and the jam that all saw shed 41,225 requests. Its tries come with 330 ms left and its last ones with 567 (12,272 and 2,909 of those refused): Request held the most time left to be the first try's, so all first tries were late and were shed before all others. Ruled out: walls (3,242 of 44,467 refusals were no shedding), what work takes (answers' median is 42 ms of 170).

Change: pick keeps to the balancer's servers whatever the price, and far gives servers of other zones their whole turns where it is nothing. The usual time left is found by majority vote, and another one is a further try's.

Tests: TestThinTrafficKeepsToFewOfEachCell also without a price (20 of 20 used before); TestFirstTriesThatAreCutShortAreNotLate. Three tests told a Balancer by one request what time first tries come with; it is 20 now, what they want is the same. Servers of the tests' list have a cell of their own, as the sidecar gives those without one: in one cell thin traffic keeps to one of them.

--- a/policy/affinity.go
+++ b/policy/affinity.go
@@ -2,10 +2,9 @@
 
 import "math"
 
-// Affinity: a server that met a key lately does about half the work for it, and the servers of a
-// cell share what they have met; they remember only so many. Weighted rendezvous hashing makes all
-// balancers rank the cells alike for a key, without a word. A key whose first cell has no turn to
-// give goes to its second, which is the same at all balancers again.
+// Affinity: a cell of servers that met a key lately does about half the work for it, and remembers only so
+// many. By weighted rendezvous hashing all balancers rank the cells alike for a key, without a word: where the
+// first has no turn to give, the second is the same at all of them again.
 
 // cell is one cell of the servers that a request may go to.
 type cell struct {
--- a/policy/ask.go
+++ b/policy/ask.go
@@ -5,10 +5,9 @@
 	"time"
 )
 
-// Asking for the server list. One service answers all balancers in turn, and a call that has waited
-// too long fails, though it has cost what it cost. Watches break for many balancers at once; if all
-// call again within the time that the service takes for all, each call waits behind those that are
-// to fail, and none gets the list. So the pause after a failure grows with the number of balancers.
+// Asking for the server list. One service answers all balancers in turn, and calls that have waited too long
+// fail. Watches break for many at once; if all call again within the time that the service takes for all, each
+// call waits behind those that are to fail. So the pause after a failure grows with the number of balancers.
 
 // askEach is what the list service is given for each balancer's call: a list takes it up to 75 ms
 // when it is short of time, and the half of the balancers may have been cut off at once.
--- a/policy/capacity.go
+++ b/policy/capacity.go
@@ -1,8 +1,7 @@
 package policy
 
-// What servers can do, learnt from load reports: listed weights are rough, and balancers that send
-// in proportion to them overrun one kind of server while another idles. One balancer meets a server
-// too seldom to measure it, but many servers share a listed weight: they are measured as one.
+// What servers can do, learnt from load reports: by listed weights, which are rough, one kind of server may be
+// overrun while another idles. A server is met too seldom to be measured, but all of one listed weight are not.
 
 const (
 	busyEnough = 0.2  // so busy a server must be for its rate to tell its capacity
--- a/policy/coldstart.go
+++ b/policy/coldstart.go
@@ -5,9 +5,8 @@
 	"time"
 )
 
-// Slow start: all balancers together must not push over a server that has just started, and
-// can't agree on who sends to it. Each keeps to an even part of its budget, which is one of
-// work, counted among those that may use it, whatever traffic it has itself.
+// Slow start: all balancers together must not push over a server that has just started. Each keeps to an even
+// part of its budget of work, counted among those that may use it, whatever traffic it has itself.
 
 const (
 	// coldPart is how much of a cold server's budget is used; the rest is left to
--- a/policy/health.go
+++ b/policy/health.go
@@ -67,9 +67,8 @@
 	b.weigh(now)
 }
 
-// held is how many requests a server holds by its report, or negative. Where that
-// says only what waits, the busy part of its cores is what it works on: a listed
-// size of 1 stands for about one core.
+// held is how many requests a server holds by its report, or negative. Where that says only what waits, the
+// busy part of its cores is what it works on: a listed size of 1 stands for about one core.
 func (s *server) held(l Load) float64 {
 	if l.InFlight >= 0 || l.Waiting < 0 {
 		return l.InFlight
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -117,7 +117,7 @@
 func ready(ids ...ServerID) []Server {
 	var list []Server
 	for _, id := range ids {
-		list = append(list, Server{ID: id, State: Ready, Weight: 1})
+		list = append(list, Server{ID: id, Cell: -int(id), State: Ready, Weight: 1}) // no two in one cell, as where none are listed
 	}
 	return list
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,6 +20,8 @@
 	serverSlots = 3.0  // slots for each server first listed, where no quota is known
 	placesShare = 0.15 // queue places for each slot: short, just enough to keep slots fed
 
+	votesMost = 64 // for what is usual: so much is remembered
+
 	thinRate  = 1.0 // own requests a second for each server; below, traffic is thin
 	crowdedAt = 0.3 // a server whose answers take this share of the aim is crowded
 )
@@ -46,9 +48,8 @@
 	return b, nil
 }
 
-// deriveSlots sizes the walls, once. By Little's law a rate holds rate x time slots: the quotas,
-// times a small share of the mean aim, so that most of it is left for what goes wrong. Traffic is
-// uneven: each balancer gets a multiple of its even part, and two standard deviations (Poisson).
+// deriveSlots sizes the walls, once, by Little's law: the quotas times a small share of the mean aim. As
+// traffic is uneven each balancer gets a multiple of its even part, and two standard deviations (Poisson).
 func (b *Balancer) deriveSlots() {
 	shares := 0.0
 	for _, t := range b.cfg.Tenants {
@@ -76,9 +77,8 @@
 	b.wake(now, idleTick)
 }
 
-// Request takes a request on. It is answered exactly once, by an Outcome that settles it or through the Host,
-// before its time left is up. An id that is still held is passed over; an unknown class or tenant, or no time
-// left, is refused at once.
+// Request takes a request on. It is answered once, by an Outcome that settles it or through the Host, in its
+// time. An id that is still held is passed over; an unknown class or tenant, or no time left, is refused.
 func (b *Balancer) Request(now time.Duration, q Request) {
 	if _, held := b.requests[q.ID]; held {
 		return
@@ -90,9 +90,8 @@
 	}
 	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant], work: q.Work, key: q.Key}
 	r.deadline = now + min(q.Left, time.Hour)
-	begun := now // of the client's first try; a later one comes with less time left than others lately
-	r.class.longest = max(q.Left, r.class.longest-(r.class.longest-q.Left)/64)
-	if (q.Repeat || !b.cfg.MarksRepeat) && q.Left < r.class.longest-2*busyTick {
+	begun := now // of the client's first try
+	if r.class.unusual(q.Left) && (q.Repeat || !b.cfg.MarksRepeat) {
 		begun = min(now, r.deadline-r.class.Deadline)
 	}
 	r.aimAt = min(r.deadline, begun+r.class.Aim+time.Duration(r.class.AimStretch*float64(q.Work)))
@@ -122,6 +121,20 @@
 	}
 }
 
+// unusual says whether a request has another time left than most of its class lately: further tries have
+// what is left of the whole, less than a first one or, where tries are cut short, more.
+func (c *class) unusual(left time.Duration) bool {
+	if c.votes == 0 {
+		c.usual = left
+	}
+	if (left - c.usual).Abs() > 2*busyTick {
+		c.votes-- // a majority vote
+		return true
+	}
+	c.votes = min(c.votes+1, votesMost)
+	return false
+}
+
 // Outcome takes the end of an attempt. What is unknown or came before is passed over.
 func (b *Balancer) Outcome(now time.Duration, o Outcome) {
 	r := b.requests[o.ID]
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -35,11 +36,50 @@
 	}
 }
 
+// firstTries lets a Balancer see what time left most requests come with.
+func firstTries(b *Balancer, left time.Duration) {
+	for i := range RequestID(20) {
+		b.Request(0, Request{ID: 1000 + i, Class: safeClass, Left: left})
+		b.Outcome(0, Outcome{ID: 1000 + i, Ending: Served, Settled: true})
+	}
+}
+
+// Guards against this: where a client's first tries are cut short and its last one has all that is left,
+// the first ones pass for late, get no more than what nobody else wants and are shed before all others.
+func TestFirstTriesThatAreCutShortAreNotLate(t *testing.T) {
+	b, h := start(t, testConfig(), ready(1, 2))
+	rng := rand.New(rand.NewPCG(3, 0))
+	cut, first, late := 0, 0, 0
+	for id := range RequestID(400) {
+		now := time.Duration(id) * 20 * ms
+		left, last := 1200*ms, rng.IntN(4) == 0 // of the class's 3 s
+		if last {
+			left = 1800 * ms
+		}
+		b.Request(now, Request{ID: id, Class: safeClass, Left: left})
+		end(b, now+5*ms, id, 0, Served)
+		switch timeout := h.sends[len(h.sends)-1].timeout; {
+		case id < 50:
+		case last && timeout == left: // its aim has passed: what is left of its deadline counts
+			late++
+		case !last && timeout == time.Second:
+			first++
+		default:
+			cut++
+		}
+	}
+	if cut > 0 || first < 200 || late < 50 {
+		t.Errorf("%d first tries and %d last ones were taken for what they are, and %d were not", first, late, cut)
+	}
+}
+
 // Guards against this: a client's later tries are served when nothing can be earned by them any more.
 func TestLateTriesGiveWay(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2))
+	firstTries(b, 2800*ms) // come with this much of the class's 3 s
+	h.sends = nil
 	left := func(id RequestID, d time.Duration) { b.Request(0, Request{ID: id, Class: safeClass, Left: d}) }
-	left(1, 2800*ms) // first tries come with this much of the class's 3 s
+	left(1, 2800*ms)
 	left(2, 2500*ms) // begun half a second ago
 	left(3, 1500*ms) // begun 1.5 s ago, late already, but answers are quick
 	if len(h.sends) != 3 || h.sends[1].timeout != 500*ms || h.sends[2].timeout != 1500*ms {
@@ -75,6 +115,8 @@
 	cfg := testConfig()
 	cfg.MarksRepeat = true
 	b, h := start(t, cfg, ready(1, 2))
+	firstTries(b, 2800*ms)
+	h.sends = nil
 	b.Request(0, Request{ID: 1, Class: safeClass, Left: 2800 * ms})
 	b.Request(0, Request{ID: 2, Class: safeClass, Left: 2500 * ms})
 	b.Request(0, Request{ID: 3, Class: safeClass, Left: 2500 * ms, Repeat: true})
@@ -714,8 +756,8 @@
 // Guards against this: a thousand balancers keep a connection to every server each, which
 // fills the servers' tables, and open most of them anew for each request.
 func TestThinTrafficKeepsToFewOfEachCell(t *testing.T) {
-	reached := func(cfg Config) int {
-		cfg.CrossZonePrice = 0.02
+	reached := func(cfg Config, price float64) int {
+		cfg.CrossZonePrice = price
 		var list []Server
 		for id := range ServerID(20) {
 			list = append(list, Server{ID: id, Cell: int(id / 5), State: Ready, Weight: 1})
@@ -739,13 +781,15 @@
 		}
 		return len(to)
 	}
-	if n := reached(thinConfig()); n < 4 || n > 10 {
-		t.Errorf("%d of 20 servers used where traffic is thin, want one of each cell and half at most", n)
+	for _, price := range []float64{0.02, 0} { // of crossing zones: there may be one zone, or it may be free
+		if n := reached(thinConfig(), price); n < 4 || n > 10 {
+			t.Errorf("price %v: %d of 20 servers used where traffic is thin, want one of each cell and half at most", price, n)
+		}
 	}
 	full := testConfig()
 	full.Balancers = 1
 	full.Tenants[0].Quota, full.Tenants[1].Quota = 750, 250
-	if n := reached(full); n != 20 {
+	if n := reached(full, 0.02); n != 20 {
 		t.Errorf("%d of 20 servers used where traffic is not thin", n)
 	}
 }
--- a/policy/rest.go
+++ b/policy/rest.go
@@ -6,15 +6,12 @@
 )
 
 // Rests: a server that answers from behind a queue is passed over for a while, as in outlier ejection.
-// Where own traffic is thin a balancer learns of its queue from one answer alone; going on in turn, all
-// balancers together keep the queue up. With every slow answer the rest grows, with the first quick one
-// it is over. So a jam of some servers moves the traffic to others, first to those near and then to
-// other zones, and what all of them cannot bear is shed.
+// Where traffic is thin one answer alone tells of a queue, which all balancers together, going on in turn,
+// would keep up. Each slow answer makes the rest longer, the first quick one ends it. So a jam moves traffic
+// to other servers, first to those near and then to other zones, and what all of them cannot bear is shed.
 
 const (
-	// slowPart is the share of the aim after which an answer shows a queue: what is sent while
-	// this one waits comes behind it. Without a queue most answers take a tenth.
-	slowPart  = 0.3
+	slowPart  = 0.3             // of the aim, after which an answer shows a queue: most take a tenth without one
 	slowWork  = 2.0             // the multiple of a request's own expected work that is no queue
 	firstRest = time.Second     // a few times what working off such a queue takes, as others come too
 	restFor   = 4               // times an answer's own time the server rests at least: all sent there wait so long
--- a/policy/rest_test.go
+++ b/policy/rest_test.go
@@ -154,8 +154,7 @@
 				s.restTill = time.Hour
 			}
 		}
-		b.Request(0, Request{ID: 100, Class: safeClass, Left: 3 * time.Second})
-		end(b, ms, 100, 0, Served)
+		firstTries(b, 3*time.Second)
 		before := len(h.sends)
 		for id := range RequestID(10) {
 			b.Request(ms, Request{ID: id, Class: safeClass, Left: time.Second})
--- a/policy/silence.go
+++ b/policy/silence.go
@@ -6,9 +6,8 @@
 	"time"
 )
 
-// Silence: what neither answers nor breaks. When a machine vanishes or a zone is cut off each request sent
-// there is lost, and its slot with it, until it times out. So a zone from which nothing comes any more is
-// doubted as a whole, and a server that said nothing gets probes, cheap beside a request, until it speaks.
+// Silence: what neither answers nor breaks, as a machine that vanished or a zone that is cut off. A zone from
+// which nothing comes any more is doubted as a whole; a silent server gets probes, not requests, until it speaks.
 
 const (
 	// doubtSends attempts that are out for doubtPart of the aim, while their zone has
--- a/policy/state.go
+++ b/policy/state.go
@@ -71,8 +71,9 @@
 
 type class struct {
 	Class
-	pace    time.Duration // usual time of an answer
-	longest time.Duration // the time left that first tries come with: the most seen, followed down
+	pace  time.Duration // usual time of an answer
+	usual time.Duration // the time left that most requests come with
+	votes int           // and how sure that is
 }
 
 // Balancer makes the decisions of one sidecar.
--- a/policy/takeover.go
+++ b/policy/takeover.go
@@ -5,9 +5,8 @@
 // Take-over: a new process takes a sidecar's place while the old one still has requests. Both
 // are one balancer to the servers: its slots, queue places and part of a cold server's budget.
 
-// Leave gives up what this Balancer does not need to end what it has and what may be coming to it still,
-// so many requests of any tenant, and returns what it keeps, by tenant; that never grows again. Cold
-// servers get nothing more: their budget is the other's.
+// Leave gives up what this Balancer does not need for what it has and for so many requests that may be coming
+// still. It returns what it keeps, by tenant; that never grows. Cold servers' budget is the other's.
 func (b *Balancer) Leave(coming int) []Held {
 	b.shared, b.leaving = true, true
 	held := make([]Held, len(b.parts))
--- a/policy/turn.go
+++ b/policy/turn.go
@@ -33,34 +33,35 @@
 // spared says whether a server is not among those that this balancer keeps to.
 func (b *Balancer) spared(s *server) bool { return b.thin && s.spare }
 
-// far is how much of its turns a server of another zone gets. Crossing has a price:
-// where traffic is thin none, until servers of the own zone rest.
+// far is how much of its turns a server of another zone gets. Where crossing has a price that is
+// none; where traffic is thin, until servers of the own zone rest.
 func (b *Balancer) far(now time.Duration) float64 {
-	if !b.thin || b.cfg.CrossZonePrice <= 0 {
-		return 0
+	if b.cfg.CrossZonePrice <= 0 {
+		return 1
 	}
-	if rest := b.atRest(now, true); rest > spillFrom {
+	if rest := b.atRest(now, true); b.thin && rest > spillFrom {
 		return rest
 	}
 	return 0
 }
 
-// pick is smooth weighted round robin over the ready servers: of the cell that has the request's key
-// warm, or the next one, where there are such; first over those that this balancer keeps to, and then
-// over all. A server loses its turn while it holds its portion of our attempts (an inner wall), while it
-// rests, is silent or is judged unwell, but for a trial now and then, or if the request has been there.
+// pick is smooth weighted round robin over the ready servers of the cell that has the request's key warm, or of
+// the next one; first over those that this balancer keeps to, then over all. A server loses its turn while it
+// holds its portion of our attempts, rests, is silent or unwell (but for trials), or if the request was there.
 func (b *Balancer) pick(now time.Duration, r *request) *server {
 	far := b.far(now)
-	for near := b.cfg.CrossZonePrice > 0; ; near = false {
+	for near := true; ; near = false {
 		b.cells = b.cells[:0]
 		for _, s := range b.servers {
 			s.turnable, s.weighs = false, 0
-			if near && (far == 0 && s.Zone != b.cfg.Zone || b.spared(s)) || r.tried(s) || !b.mayGo(now, r, s) {
-				continue
+			part := 1.0 // of its turns
+			if near && s.Zone != b.cfg.Zone {
+				part = far
 			}
-			if s.weighs = s.size * b.warmth(now, s); near && s.Zone != b.cfg.Zone {
-				s.weighs *= far
+			if part == 0 || near && b.spared(s) || r.tried(s) || !b.mayGo(now, r, s) {
+				continue
 			}
+			s.weighs = s.size * b.warmth(now, s) * part
 			s.turnable = b.turnable(now, s)
 			b.addCell(r, s)
 		}
