A place that is being given away is not left by both processes of a take-over

Cause, by reading (open in docs/RACES.md): the new process waited 2 s for the word that the place is its (receive(p.conn, p.in, msgYours, answerIn) in takeover.go) and then ended; an old one that was stopped for so long gave the place up afterwards to nobody. So did an old one whose new process had died after saying that it is ready: it closed its listener before it told, and a new one whose old process died in between ended too.

Change: the old process tells before it stops accepting, and keeps its place where the word does not go out.

Tests: TestNewProcessWaitsForItsPlace (late, dies before and after its word, ends, ends instead), TestPlaceIsKeptWhereTheNewProcessDied. Left: a new process that dies when it has been told and has not accepted yet is a sidecar that has crashed.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -197,16 +197,16 @@
 		case err := <-ungoverned:
 			return err
 		case next := <-asked:
+			if err := offered.give(next); err != nil {
+				slog.Warn("the place is not given away: this process goes on", "err", err)
+				continue
+			}
 			asked = nil
 			if err := ending.hand(); err != nil {
 				return err
 			}
 			stop = context.Background() // it ends as it is
 			loops.Go(func() { next.tell(run, l.leave) })
-			select { // without a connection this process is about to end, and nobody would have the place
-			case <-next.told:
-			case <-next.gone:
-			}
 		case <-stop.Done():
 			if !inPlace && len(took) == 0 {
 				return nil // the old process goes on
--- a/internal/sidecar/takeover_test.go
+++ b/internal/sidecar/takeover_test.go
@@ -8,9 +8,13 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
+
+	"barleywick/policy"
 )
 
 // FuzzTakeoverMessage: whatever comes over the socket is a message of the kind that
@@ -116,3 +120,122 @@
 		t.Errorf("the socket is left behind: %v", err)
 	}
 }
+
+// oldProcess plays the old process's side up to the new one's being ready, and returns its connection.
+func oldProcess(t *testing.T) (p *predecessor, old *net.UnixConn) {
+	t.Helper()
+	c := &Config{Name: "n", Listen: "127.0.0.1:1", Takeover: &takeoverConfig{Socket: filepath.Join(t.TempDir(), "s")}}
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: c.Takeover.Socket, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	raw, err := listenLoopback(t).(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan *net.UnixConn, 1)
+	go func() {
+		old, err := ln.AcceptUnix()
+		if err == nil {
+			_, err = receive(old, bufio.NewReader(old), msgHello, patience)
+		}
+		if err == nil {
+			err = raw.Control(func(fd uintptr) { err = send(old, message{Kind: msgSocket}, syscall.UnixRights(int(fd))) })
+		}
+		if err != nil {
+			t.Errorf("the old process: %v", err)
+		}
+		accepted <- old
+	}()
+	if p, err = reach(c); err != nil || p == nil {
+		t.Fatalf("reached %v, error %v", p, err)
+	}
+	old = await(t, "the old process", accepted)
+	t.Cleanup(func() {
+		p.listener.Close()
+		p.close()
+		old.Close()
+	})
+	return p, old
+}
+
+// A new process that is ready does not leave a place that is given to it: not where the word of it is
+// late, as the old one may be stopped for a while, and not where the old one dies instead of it.
+func TestNewProcessWaitsForItsPlace(t *testing.T) {
+	for name, tt := range map[string]struct {
+		old  func(old *net.UnixConn)
+		want []policy.Held
+		err  string
+	}{
+		"late": {func(old *net.UnixConn) {
+			time.Sleep(answerIn + 100*time.Millisecond) // what is tested: no time of its own ends the wait
+			send(old, message{Kind: msgYours}, nil)
+			send(old, message{Kind: msgHeld, Held: []policy.Held{{Slots: 3, Places: 1}}}, nil)
+		}, []policy.Held{{Slots: 3, Places: 1}}, ""},
+		"dies before its word": {func(old *net.UnixConn) { old.Close() }, nil, ""},
+		"dies after its word": {func(old *net.UnixConn) {
+			send(old, message{Kind: msgYours}, nil)
+			old.Close()
+		}, nil, ""},
+		"ends after its word": {func(old *net.UnixConn) {
+			send(old, message{Kind: msgYours}, nil)
+			hangUp(old, errEnding)
+		}, nil, ""},
+		"ends by itself instead": {func(old *net.UnixConn) { hangUp(old, errEnding) }, nil, errEnding.Error()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, old := oldProcess(t)
+			type result struct {
+				held []policy.Held
+				err  error
+			}
+			got := make(chan result, 1)
+			go func() {
+				held, err := p.ready()
+				got <- result{held, err}
+			}()
+			if _, err := receive(old, bufio.NewReader(old), msgReady, patience); err != nil {
+				t.Fatal(err)
+			}
+			tt.old(old)
+			r := await(t, "the new process's decision", got)
+			if !slices.Equal(r.held, tt.want) || (r.err == nil) != (tt.err == "") || r.err != nil && !strings.Contains(r.err.Error(), tt.err) {
+				t.Errorf("%v, error %v; want %v and %q", r.held, r.err, tt.want, tt.err)
+			}
+		})
+	}
+}
+
+// A new process that dies when it has said that it is ready leaves the old one in its place, which
+// is offered again.
+func TestPlaceIsKeptWhereTheNewProcessDied(t *testing.T) {
+	c := &Config{Name: "n", Listen: "127.0.0.1:1", Takeover: &takeoverConfig{Socket: filepath.Join(t.TempDir(), "s")}}
+	h, err := offer(c, listenLoopback(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.close()
+	p, err := reach(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.listener.Close()
+	if err := send(p.conn, message{Kind: msgReady}, nil); err != nil {
+		t.Fatal(err)
+	}
+	s := await(t, "the new one's word", h.asked)
+	p.close()
+	if err := h.give(s); err == nil || h.handed {
+		t.Errorf("the place was given to a process that has died: error %v", err)
+	}
+	eventually(t, "the offer is free again", func() bool {
+		again, err := reach(c)
+		if err != nil || again == nil {
+			return false
+		}
+		again.listener.Close()
+		again.close()
+		return true
+	})
+}
