--- a/cmd/barleylab/main.go
+++ b/cmd/barleylab/main.go
@@ -49,7 +49,7 @@
   barleylab report walls.json --html walls.html`,
 		Args: cli.NoArgs, RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	root.AddCommand(simulateCommand(), labCommand(), experimentCommand(), loadCommand(), huntCommand(), membersCommand(), exploreCommand(), tortureCommand(), reportCommand(), cli.VersionCommand("barleylab"))
+	root.AddCommand(simulateCommand(), labCommand(), experimentCommand(), loadCommand(), huntCommand(), membersCommand(), exploreCommand(), tortureCommand(), soakCommand(), reportCommand(), cli.VersionCommand("barleylab"))
 	return root
 }
 
--- /dev/null
+++ b/cmd/barleylab/soak.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"barleywick/internal/cli"
+	"barleywick/internal/soak"
+)
+
+// soakProgram is the sidecar's program, beside this one.
+const soakProgram = "barleywick"
+
+func soakCommand() *cobra.Command {
+	var o soak.Options
+	var seeds int
+	var out, programs string
+	var quiet bool
+	c := &cobra.Command{
+		Use: "soak", Short: "Run sidecars under random faults that overlap, and check the rules on every request", Args: cli.NoArgs,
+		Long: `soak starts sidecar processes, booking servers and a discovery service on loopback,
+lets clients ask them, and draws faults from the seed: planned ends with a kill after the
+protocol's time, kills, pauses, new configurations, drains, outages of discovery, and
+booking servers that hang, answer twice, reset, refuse or close. Every request is followed
+to its end and held against the rules (docs/TESTING.md). Everything it starts ends with it.
+
+` + cli.Statuses + `
+ 3  an invariant was broken`,
+		Example: "  barleylab soak --seed 7 --sidecars 16 --for 30s\n  barleylab soak --seed 1 --seeds 10 --quiet",
+	}
+	f := c.Flags()
+	f.Uint64Var(&o.Seed, "seed", 1, "of clients, booking servers and faults")
+	f.IntVar(&seeds, "seeds", 1, "how many seeds are run one after the other, from the first on")
+	f.IntVar(&o.Sidecars, "sidecars", 16, "processes")
+	f.IntVar(&o.Clients, "clients", 3, "beside each sidecar")
+	f.IntVar(&o.Servers, "servers", 6, "booking servers")
+	f.DurationVar(&o.For, "for", 15*time.Second, "how long faults are begun")
+	f.StringVar(&out, "json", "", "write the reports to `FILE`")
+	f.StringVar(&programs, "programs", "", "the `FOLDER` of the sidecar's program (default: this program's)")
+	f.BoolVar(&quiet, "quiet", false, "tell the outcome alone, not the timeline")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if err := o.Check(); err != nil {
+			return cli.WrongCall("%v", err)
+		}
+		if seeds < 1 {
+			return cli.WrongCall("seeds is %d, at least 1 is needed", seeds)
+		}
+		program, err := findProgram(programs, soakProgram)
+		if err != nil {
+			return err
+		}
+		o.Command = func(config string) *exec.Cmd {
+			cmd := exec.Command(program)
+			cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config)
+			return cmd
+		}
+		if !quiet {
+			o.Tell = func(line string) { fmt.Fprintln(c.OutOrStdout(), line) }
+		}
+		return runSoaks(c, o, seeds, out)
+	}
+	return c
+}
+
+// findProgram finds one of our programs in a folder, or beside this one.
+func findProgram(folder, name string) (string, error) {
+	if folder == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return "", fmt.Errorf("find the programs: %w", err)
+		}
+		folder = filepath.Dir(self)
+	}
+	path := filepath.Join(folder, name)
+	if _, err := os.Stat(path); err != nil {
+		return "", fmt.Errorf("--programs: %w", err)
+	}
+	return path, nil
+}
+
+// runSoaks runs one seed after the other and tells what came of each.
+func runSoaks(c *cobra.Command, o soak.Options, seeds int, out string) error {
+	var reports []*soak.Report
+	broken := 0
+	for range seeds {
+		report, err := soak.Run(c.Context(), o)
+		if report != nil {
+			reports = append(reports, report)
+			broken += report.Cases
+			tellSoak(c.OutOrStdout(), report)
+		}
+		if err != nil {
+			return err
+		}
+		o.Seed++
+	}
+	err := write(out, func(w io.Writer) error {
+		e := json.NewEncoder(w)
+		e.SetIndent("", " ")
+		return e.Encode(reports)
+	})
+	if broken > 0 {
+		err = errors.Join(err, cli.Status(statusBroken, "invariants were broken %d times in %d runs", broken, len(reports)))
+	}
+	return err
+}
+
+func tellSoak(w io.Writer, r *soak.Report) {
+	var parts []string
+	for _, what := range slices.Sorted(maps.Keys(r.Seen)) {
+		parts = append(parts, fmt.Sprintf("%d %s", r.Seen[what], what))
+	}
+	fmt.Fprintf(w, "seed %d, %v, stalled for %v at most: %s\n", r.Seed, r.Took.Round(time.Second), r.Stall.Round(time.Millisecond), strings.Join(parts, ", "))
+	for _, broken := range r.Broken {
+		fmt.Fprintln(w, "BROKEN:", broken)
+	}
+	fmt.Fprintf(w, "seed %d: %d invariants broken\n", r.Seed, r.Cases)
+}
--- /dev/null
+++ b/internal/soak/server.go
@@ -0,0 +1,182 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// mode is how a booking server acts.
+type mode int
+
+const (
+	// modeWell: it answers each request once, in 1 to 40 ms.
+	modeWell mode = iota
+	// modeHang: it takes requests and answers none of them until the mode ends.
+	modeHang
+	// modeTwice: each answer comes a second time, 1 to 150 ms later.
+	modeTwice
+	// modeReset: connections are reset under requests, before or in the middle of the answer.
+	modeReset
+	// modeRefuse: it turns requests away, or fails them.
+	modeRefuse
+	// modeClose: connections end shortly after an answer.
+	modeClose
+)
+
+func (m mode) String() string {
+	return [...]string{"well", "hangs", "answers twice", "resets", "refuses", "closes"}[m]
+}
+
+// server is a booking server: it writes raw answers and notes when each request came.
+type server struct {
+	name     string
+	listener net.Listener
+	ledger   *ledger
+	tasks    sync.WaitGroup
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	mode    mode
+	changed chan struct{} // closed as the mode changes
+	conns   map[net.Conn]bool
+	closed  bool
+}
+
+func startServer(name string, l *ledger, rng *rand.Rand) (*server, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("booking server %s: %w", name, err)
+	}
+	s := &server{name: name, listener: ln, ledger: l, rng: rng, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	s.tasks.Go(s.accept)
+	return s, nil
+}
+
+func (s *server) address() string { return s.listener.Addr().String() }
+
+// close ends the server and all of its connections.
+func (s *server) close() {
+	s.listener.Close()
+	s.set(modeWell)
+	s.mu.Lock()
+	s.closed = true
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.tasks.Wait()
+}
+
+// set changes how the server acts from now on.
+func (s *server) set(m mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		if s.closed {
+			c.Close()
+		}
+		s.conns[c] = true
+		s.mu.Unlock()
+		s.tasks.Go(func() {
+			s.serve(c)
+			c.Close()
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+		})
+	}
+}
+
+// serve answers the requests of one connection.
+func (s *server) serve(c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		first := time.Now()
+		q, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		told, _ := strconv.ParseFloat(q.Header.Get("Request-Timeout"), 64)
+		a := s.ledger.attempt(q.Header.Get("Request-Id"), s.name, first, time.Duration(told*float64(time.Second)))
+		if a == nil {
+			io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		if !s.answer(c, a) {
+			return
+		}
+	}
+}
+
+// answer acts by the mode, and says whether the connection goes on.
+func (s *server) answer(c net.Conn, a *attempt) bool {
+	s.mu.Lock()
+	m, changed := s.mode, s.changed
+	work := time.Duration(1+s.rng.IntN(40)) * time.Millisecond
+	again := time.Duration(1+s.rng.IntN(150)) * time.Millisecond
+	coin := s.rng.IntN(4)
+	s.mu.Unlock()
+	text := "done " + a.id
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	if m == modeHang {
+		<-changed // its answer comes late, as one of a server that was stopped
+	} else {
+		time.Sleep(work)
+	}
+	switch {
+	case m == modeReset && coin < 2:
+		io.WriteString(c, whole[:len(whole)*coin/2])
+		c.(*net.TCPConn).SetLinger(0)
+		a.end(mayHaveRun)
+		return false
+	case m == modeRefuse && coin < 2:
+		a.end(neverRan)
+		_, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	case m == modeRefuse && coin == 2:
+		a.end(mayHaveRun)
+		_, err := io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	a.end(mayHaveRun)
+	if _, err := io.WriteString(c, whole); err != nil {
+		return false
+	}
+	switch {
+	case m == modeTwice:
+		s.tasks.Go(func() {
+			time.Sleep(again)
+			if _, err := io.WriteString(c, whole); err == nil {
+				s.ledger.saw("second answers written")
+			}
+		})
+	case m == modeClose && coin < 2:
+		time.Sleep(work)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/soak/sidecar.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"barleywick/internal/faultnet"
+)
+
+// The settings' figures that the oracle holds the fleet to.
+const (
+	drainGrace   = 3 * time.Second
+	repeatWindow = 1200 * time.Millisecond
+	mostAttempts = 3
+)
+
+// sidecar is one process under test with what its clients know of it.
+type sidecar struct {
+	name, addr, config string
+	process            *faultnet.Process
+
+	mu       sync.Mutex
+	killedAt time.Time // the last kill outright, planned ends not counted; zero: none
+	lives    int       // how often it was started
+	downAt   time.Time // since when it ends or is gone; zero: it serves
+}
+
+// loopbackAddress is an address of a sidecar's own: nobody else of the run is at its host.
+func loopbackAddress(index int) string {
+	for port := 20000 + os.Getpid()%20000; ; port++ {
+		address := fmt.Sprintf("127.%d.%d.%d:%d", 60+os.Getpid()%60, 1+index/200, 1+index%200, port)
+		if ln, err := net.Listen("tcp", address); err == nil {
+			ln.Close()
+			return address
+		}
+	}
+}
+
+// class is a class of requests in the settings' form.
+type class struct {
+	Name      string `json:"name"`
+	Semantics string `json:"semantics"`
+	Scope     string `json:"dedup_scope,omitempty"`
+	WindowMS  int64  `json:"window_ms,omitempty"`
+	AimMS     int64  `json:"aim_ms"`
+	LimitMS   int64  `json:"hard_limit_ms"`
+	Worth     int    `json:"worth"`
+}
+
+func (s *sidecar) writeConfig(seed uint64, sidecars int, discovery string) error {
+	limit := longestDeadline.Milliseconds()
+	settings := map[string]any{
+		"balancers": sidecars, "discovery": "push", "zones": []string{"a"},
+		"caps": map[string]any{
+			"may_cancel": seed%3 != 0, "probes": false, "most_tries": mostAttempts, "dial_timeout_ms": 250,
+			"conn_idle_ms": 30000, "max_retry_after_ms": 300,
+		},
+		"classes": []class{
+			{Name: "read", Semantics: "free", AimMS: limit / 2, LimitMS: limit, Worth: 1},
+			{Name: "keyed", Semantics: "guarded", Scope: "all", WindowMS: repeatWindow.Milliseconds(), AimMS: limit / 2, LimitMS: limit, Worth: 1},
+			{Name: "once", Semantics: "single_shot", AimMS: limit / 2, LimitMS: limit, Worth: 1},
+		},
+		"rules": map[string]any{"cold_from": 0.9, "cold_ms": 100, "fall_multiple": 3, "drain_grace_ms": drainGrace.Milliseconds()},
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": s.name, "listen": s.addr, "discovery": discovery, "seed": fmt.Sprintf("%x", seed),
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256},
+		"settings": settings,
+	})
+	if err != nil {
+		return fmt.Errorf("configuration of %s: %w", s.name, err)
+	}
+	if err := os.WriteFile(s.config, text, 0o600); err != nil {
+		return fmt.Errorf("configuration of %s: %w", s.name, err)
+	}
+	return nil
+}
+
+// awaitReady waits until the process says that it is ready.
+func (s *sidecar) awaitReady(ctx context.Context) error {
+	for {
+		if s.isReady(ctx) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready: %w", s.name, ctx.Err())
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (s *sidecar) isReady(ctx context.Context) bool {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.addr+"/health/ready", nil)
+	if err != nil {
+		return false
+	}
+	q.Close = true
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode == http.StatusOK
+}
+
+// down notes that it ends or is gone, and killed that it was killed outright just then.
+func (s *sidecar) down(killed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.downAt = time.Now()
+	if killed {
+		s.killedAt = s.downAt
+	}
+}
+
+// up notes that it serves again.
+func (s *sidecar) up() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.downAt = time.Time{}
+	s.lives++
+}
+
+// isDown says whether it ends or is gone.
+func (s *sidecar) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.downAt.IsZero()
+}
+
+// killedSince says whether it was killed outright after a moment.
+func (s *sidecar) killedSince(t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.killedAt.After(t)
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,72 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/exec"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	program "barleywick/internal/sidecar"
+)
+
+// roleVariable makes the test binary a sidecar process.
+const roleVariable = "SOAK_ROLE"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(roleVariable) == "" {
+		os.Exit(m.Run())
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	stop, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	c, err := program.LoadConfig(os.Getenv)
+	if err == nil {
+		err = program.Run(stop, reload, c)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// asItself starts this test binary as a sidecar.
+func asItself(config string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), roleVariable+"=sidecar", "ROUTER_CONFIG="+config)
+	return cmd
+}
+
+// A fleet of real processes under overlapping faults keeps every invariant, on several seeds.
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it starts real processes")
+	}
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			report, err := Run(t.Context(), Options{Seed: seed, Sidecars: 10, Clients: 3, Servers: 6, For: 8 * time.Second, Command: asItself})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("stalled for %v, saw %v", report.Stall, report.Seen)
+			for _, c := range report.Broken {
+				t.Error(c)
+			}
+			if t.Failed() {
+				for _, line := range report.Timeline {
+					t.Log(line)
+				}
+			}
+			for what, least := range map[string]int{"requests": 600, "attempts": 400, "answers 200": 400, "faults: planned end": 2, "faults: pause": 2, "processes that ended in order": 10} {
+				if report.Seen[what] < least {
+					t.Errorf("too little was seen: %d %s, %d at least are wanted", report.Seen[what], what, least)
+				}
+			}
+		})
+	}
+}
