--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -171,6 +171,7 @@
 				return
 			}
 		}
+		called := time.Now()
 		heard, addrs, err := w.watchHere(ctx)
 		if ctx.Err() != nil {
 			return
@@ -183,8 +184,11 @@
 		if heard {
 			pause, down = firstReopen, false
 		}
-		if !down {
-			slog.Warn("discovery: watch ended", "at", w.Addrs[w.at], "err", err, "seq", w.seq)
+		// Each failure is told: when the next call may come depends on how this one failed.
+		if down = !heard && down; down {
+			slog.Warn("discovery: call failed", "at", w.Addrs[w.at], "err", err, "seq", w.seq, "took", time.Since(called))
+		} else {
+			slog.Warn("discovery: watch ended", "at", w.Addrs[w.at], "err", err, "seq", w.seq, "took", time.Since(called))
 			down = true
 		}
 		// What was missed counts as told already: the whole list is called for at once,
@@ -418,6 +422,7 @@
 		l.Hosts = nil
 	}
 	w.held, w.seq = true, l.Seq
+	slog.Info("discovery: list", "seq", l.Seq, "whole", l.Whole, "hosts", len(l.Hosts))
 	w.Deliver(l)
 	return nil
 }
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -95,20 +95,37 @@
 		reject(w, hr, status)
 		return
 	}
-	if c.left() || !s.listener.take(c) {
-		panic(http.ErrAbortHandler) // nobody waits for it; or it was closed as idle, and the client sends it once more
+	if c.left() { // nobody waits for it, or only for its answer
+		reject(w, hr, http.StatusServiceUnavailable)
+		return
+	}
+	if !s.listener.take(c) {
+		panic(http.ErrAbortHandler) // it was closed as idle, and what was read of it refused
 	}
 	s.loop.post(arrived{r}) // which fails only where the program ends for an error
 	var a answer
 	select {
 	case a = <-r.answer:
 	case <-hr.Context().Done():
-		s.loop.post(left{r})
-		panic(http.ErrAbortHandler) // nobody is there to answer: the connection ends
+		a = s.leave(r)
+		w.Header().Set("Connection", "close")
 	}
 	// A client that does not read by then has given up; its answer is not held for it.
 	http.NewResponseController(w).SetWriteDeadline(r.until.Add(writeAfter))
 	s.write(w, a)
+	s.ending.gate.answered(r.stopBy, time.Now(), r.name)
+}
+
+// leave gives a request up whose client has ended its side. That may still read: it gets the answer
+// if there is one by now, or else no promise about the effect.
+func (s *clients) leave(r *request) answer {
+	select {
+	case a := <-r.answer:
+		return a
+	default:
+		s.loop.post(left{r})
+		return answer{status: http.StatusBadGateway}
+	}
 }
 
 // phase is how far the sidecar is in its life.
@@ -214,13 +231,16 @@
 	case err != nil || effect == policy.Safe && len(body) > 0:
 		return nil, bad
 	}
+	came := c.cameAt()
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // none of our own either
 	}
 	return &request{
 		name: name, class: class, tenant: tenant, repeat: h.Get("Client-Retry") == "1", work: workHint(h), key: keyHash(h),
-		began:  arrival,
-		until:  arrival.Add(max(0, timeout-answerMargin)),
+		conn:   c,
+		began:  came,
+		until:  came.Add(max(0, timeout-answerMargin)),
+		stopBy: s.ending.gate.stopFor(came),
 		method: method, url: hr.URL, host: hr.Host, header: h, body: body,
 		answer: make(chan answer, 1),
 	}, 0
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"barleywick/internal/admission"
+	"barleywick/policy"
 )
 
 // clientConn is a client's connection. Closing it between requests, reading from it
@@ -31,15 +32,21 @@
 	answered atomic.Bool // something was written since it rested last
 	requests int         // whose headers were read; net/http serves one at a time
 	place    admission.Conn[*clientConn]
+	gate     *gate // counts; nil: nobody does
 
 	mu    sync.Mutex
 	state connState
-	heard bool // something was read that is of no request whose header was
-	heads tap  // what came first of the next request
+	heard bool          // something was read that is of no request whose header was
+	owed  bool          // something of a request was read that has got no answer
+	told  chan struct{} // closed once that answer is out, where the connection ends with it; nil: it does not
+	empty time.Time     // when there was nothing to read last
+	came  time.Time     // the earliest time at which what was read last can have come
+	heads tap           // what came first of the next request
 
 	// Of the one read under way; net/http never has two.
 	into   []byte
 	got    int
+	waited bool // there was nothing to read at first
 	failed error
 	read   func(fd uintptr) bool
 	onRead func() // called in the middle of a read, in tests; nil: nothing is
@@ -55,6 +62,7 @@
 
 func newClientConn(nc *net.TCPConn) *clientConn {
 	c := &clientConn{TCPConn: nc, accepted: time.Now()}
+	c.came = c.accepted
 	c.raw, _ = nc.SyscallConn()
 	c.read = c.readNow
 	c.first.Store(true)
@@ -67,7 +75,7 @@
 	if len(b) == 0 || c.raw == nil {
 		return c.TCPConn.Read(b)
 	}
-	c.into = b
+	c.into, c.waited = b, false
 	err := c.raw.Read(c.read)
 	c.into = nil
 	switch {
@@ -102,6 +110,7 @@
 		n, err = syscall.Read(int(fd), c.into)
 	}
 	if err == syscall.EAGAIN {
+		c.empty, c.waited = time.Now(), true
 		return false
 	}
 	if err != nil {
@@ -111,7 +120,13 @@
 	if c.onRead != nil {
 		c.onRead()
 	}
+	if c.waited {
+		c.came = time.Now() // it was waited for, so it has come just now
+	} else if c.came.Before(c.empty) {
+		c.came = c.empty // it was there already, and came after the last look
+	}
 	c.got, c.heard = n, c.heard || n > 0
+	c.owed = c.owed || n > 0
 	c.heads.note(c.into[:max(n, 0)])
 	return true
 }
@@ -125,6 +140,14 @@
 	c.mu.Unlock()
 }
 
+// cameAt is when the request that was read last can have come whole at the earliest. While this
+// process was busy, or the connection waited for its place, the client's time ran already.
+func (c *clientConn) cameAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.came
+}
+
 // chunksAlone says whether a request in chunks, whose header was just read, surely names no length.
 func (c *clientConn) chunksAlone(hr *http.Request) bool {
 	c.mu.Lock()
@@ -191,11 +214,26 @@
 	if c.state != connIdle {
 		return false
 	}
-	c.state, c.heard = connBusy, false
+	c.state, c.heard, c.owed = connBusy, false, true
 	c.heads.restart()
 	return true
 }
 
+// mayClose asks whether the connection may be closed.
+func (c *clientConn) mayClose(closing policy.Closing) bool {
+	if c.gate == nil {
+		return closing.Decide() == policy.Allowed
+	}
+	return c.gate.mayClose(closing) == policy.Allowed
+}
+
+// isBusy says whether a request of it has been taken and not been answered.
+func (c *clientConn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == connBusy && !c.answered.Load()
+}
+
 // rest takes that the request which was taken is answered.
 func (c *clientConn) rest() {
 	c.mu.Lock()
@@ -203,6 +241,7 @@
 	if c.state == connBusy {
 		c.state = connIdle
 	}
+	c.owed, c.empty = false, time.Now() // its client sends nothing before it has the answer
 	c.answered.Store(false)
 }
 
@@ -216,30 +255,87 @@
 	return n, err
 }
 
-// Close ends the connection. Behind an answer that closes it there may be something unread, or on its
+// Close ends the connection. What was read of a request has its answer before that, if only a
+// refusal. Behind an answer that closes the connection there may be something unread, or on its
 // way, such as the next request: a close over that is a reset, which can take the answer with it. So
 // sending ends first, and what comes then is read for a moment, or until the client ends its side.
 func (c *clientConn) Close() error {
-	if c.answered.Load() && c.CloseWrite() == nil {
+	c.mu.Lock()
+	told, taken := c.told, c.state == connBusy
+	closing := policy.Closing{Read: c.owed && c.state != connClosed, Answered: c.answered.Load()}
+	c.mu.Unlock()
+	if told != nil {
+		<-told // whoever dismissed it has answered, and closes it
+		return nil
+	}
+	if closing.Decide() != policy.Allowed {
+		text := refusedAnswer
+		if taken {
+			text = failedAnswer // it may have run
+		}
+		err := c.answer(text)
+		closing.Answered = err == nil || c.left() // nobody is owed anything who has gone
+	}
+	if c.gate != nil {
+		c.gate.closed(closing, c.RemoteAddr().String())
+	}
+	if c.answered.Load() {
+		c.linger()
+	}
+	return c.TCPConn.Close()
+}
+
+// Answers that are written past the HTTP server, to a connection that ends with them.
+const (
+	refusedAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	failedAnswer  = "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+// answer writes the one answer that a request gets as its connection ends.
+func (c *clientConn) answer(text string) error {
+	c.TCPConn.SetWriteDeadline(time.Now().Add(lingerIn))
+	_, err := io.WriteString(c, text)
+	return err
+}
+
+// linger ends sending, and reads what comes for a moment or until the client ends its side.
+func (c *clientConn) linger() {
+	if c.CloseWrite() == nil {
 		c.TCPConn.SetReadDeadline(time.Now().Add(lingerIn))
 		io.CopyN(io.Discard, c.TCPConn, maxBody)
 	}
-	return c.TCPConn.Close()
 }
 
 // closeIdle closes the connection unless a request of it has been taken or, where half
-// a request is no reason to, something of the next one has been read.
-func (c *clientConn) closeIdle(half bool) (state connState) {
+// a request is no reason to, something of the next one has been read. Where something was read it
+// is not closed yet: the caller has to call dismiss, which answers first.
+func (c *clientConn) closeIdle(half bool) (state connState, owed bool) {
 	c.mu.Lock()
-	state = c.state
-	if state == connIdle && (half || !c.heard) {
-		state, c.state = connClosed, connClosed
+	closing := c.state != connClosed && c.mayClose(policy.Closing{Taken: c.state == connBusy, Read: c.heard, Answered: half})
+	if closing {
+		c.state = connClosed
+		if owed = c.owed; owed {
+			c.told = make(chan struct{})
+		}
 	}
+	state = c.state
 	c.mu.Unlock()
-	if state == connClosed {
+	if closing && !owed {
 		c.TCPConn.Close() // at once, and without the lock: it waits for who reads
 	}
-	return state
+	return state, owed
+}
+
+// dismiss refuses what was read on a connection that closeIdle has marked, and closes it; in
+// haste, without waiting for what is still on its way.
+func (c *clientConn) dismiss(haste bool) {
+	defer close(c.told)
+	if c.answer(refusedAnswer) == nil && !haste {
+		c.linger()
+	} else {
+		c.discardUnread()
+	}
+	c.TCPConn.Close()
 }
 
 // awaitFirst waits until there is something to read, without reading it, or
@@ -250,9 +346,18 @@
 	}
 	var n int
 	var failed error
+	waited := false
 	err := c.raw.Read(func(fd uintptr) bool {
-		n, failed = peek(fd)
-		return failed != syscall.EAGAIN
+		if n, failed = peek(fd); failed == syscall.EAGAIN {
+			waited = true
+			return false
+		}
+		if waited {
+			c.mu.Lock()
+			c.empty = time.Now() // as good as: it has come just now
+			c.mu.Unlock()
+		}
+		return true
 	})
 	switch {
 	case err != nil:
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -38,20 +38,21 @@
 // listener has to be closed before.
 const lastConnections = 600 * time.Millisecond
 
-// drain takes a sidecar through its planned end, phase by phase. It ends as soon as
-// all that was taken is answered and no more can come, and not before: whatever a
-// sidecar has taken when it ends by itself is lost, however long its client has
-// given it. That nothing holds it up for ever follows from the deadlines that every
-// connection has in every state; it needs no bound of its own.
+// drain takes a sidecar through its planned end, phase by phase. It ends as soon as all that was
+// taken is answered and no more can come. The platform kills the process some time after the
+// signal: everything that is begun from then on, and every span that runs, ends before that.
 type drain struct {
 	listener *limitedListener
+	gate     *gate
+	within   time.Duration // from the signal until the process has to have answered everything
 	begun    time.Time
 	last     chan struct{} // closed when no connection comes any more
 	at       atomic.Int32
+	bounded  atomic.Bool // there is a time by which the process has to be done
 }
 
-func newDrain(l *limitedListener) *drain {
-	d := &drain{listener: l, last: make(chan struct{})}
+func newDrain(l *limitedListener, g *gate, within time.Duration) *drain {
+	d := &drain{listener: l, gate: g, within: within, last: make(chan struct{})}
 	d.at.Store(int32(serving))
 	return d
 }
@@ -65,9 +66,14 @@
 
 // begin starts the end.
 func (d *drain) begin() {
-	if d.phase() != serving {
+	if !d.bounded.CompareAndSwap(false, true) {
 		return
 	}
+	d.gate.stop(d.within)
+	time.AfterFunc(d.within, d.listener.closeRest)
+	if d.phase() != serving {
+		return // a new process has its place already
+	}
 	d.begun = time.Now()
 	d.listener.drain() // none that is idle may get a request after the listener has gone
 	d.enter(draining)
@@ -105,6 +111,7 @@
 // next begins the phase that is due, and says whether that was the last.
 func (d *drain) next() (done bool, err error) {
 	if d.phase() == draining {
+		d.listener.takeBacklog()
 		return false, d.finish()
 	}
 	d.enter(over)
--- /dev/null
+++ b/internal/sidecar/gate.go
@@ -0,0 +1,165 @@
+package sidecar
+
+import (
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"barleywick/policy"
+)
+
+// act is a kind of thing that the gate is asked about.
+type act int
+
+const (
+	actSend  act = iota // an attempt's first byte
+	actClose            // the end of a client's connection
+	actStart            // a probe, a handshake, a take-over
+	acts                // how many there are
+)
+
+func (a act) String() string { return [acts]string{"send", "close", "start"}[a] }
+
+// violation is a rule that was broken although the gate had been asked, or past it.
+type violation int
+
+const (
+	// violationLateSend: an attempt's last byte went out after its end and the hold-up allowed for.
+	violationLateSend violation = iota
+	// violationUnanswered: a connection ended over a request that was read and has no answer.
+	violationUnanswered
+	// violationLateStop: a request was not answered when the process had to be done.
+	violationLateStop
+	violations // how many there are
+)
+
+func (v violation) String() string {
+	return [violations]string{"attempt sent after its end", "closed over an unanswered request", "not done in time"}[v]
+}
+
+// holdUp is for how long the process may be held up between reading its clock and writing.
+const holdUp = 150 * time.Millisecond
+
+// gate is asked in the moment before something is sent, closed or started. The decision is
+// policy's; the gate adds the time and the facts of the moment, counts what was denied, and checks
+// after the act that it was in order. It is safe for concurrent use.
+type gate struct {
+	begin      time.Time
+	stopBy     atomic.Int64 // since begin; policy.NoLimit while the process serves on
+	lateFrom   atomic.Int64 // since begin: what comes from then on is bound to stopBy
+	denied     [acts][policy.Denials]atomic.Uint64
+	violations [violations]atomic.Uint64
+}
+
+func newGate() *gate {
+	g := &gate{begin: time.Now()}
+	g.stopBy.Store(int64(policy.NoLimit))
+	g.lateFrom.Store(int64(policy.NoLimit))
+	return g
+}
+
+// at turns a moment into the gate's monotonic time; the zero time is no limit.
+func (g *gate) at(t time.Time) time.Duration {
+	if t.IsZero() {
+		return policy.NoLimit
+	}
+	return t.Sub(g.begin)
+}
+
+// stopLate is how long after the signal a request that comes has its client's whole time still:
+// the platform's kill leaves it that. The platform's figure is 0.7 s, less for a late signal.
+const stopLate = 500 * time.Millisecond
+
+// stop takes that the process was told to end just now, and is to be done within a time.
+func (g *gate) stop(within time.Duration) {
+	now := g.at(time.Now())
+	g.lateFrom.Store(int64(now + stopLate))
+	g.stopBy.Store(int64(now + within))
+}
+
+// stopFor is by when a request that came at a time has to be answered for this process's end; the
+// zero time: it has its client's time.
+func (g *gate) stopFor(came time.Time) time.Time {
+	if int64(g.at(came)) < g.lateFrom.Load() {
+		return time.Time{}
+	}
+	return g.begin.Add(time.Duration(g.stopBy.Load()))
+}
+
+// answered checks the answer to a request that has a bound.
+func (g *gate) answered(stopBy, now time.Time, name string) {
+	if !stopBy.IsZero() && now.Sub(stopBy) > holdUp {
+		g.violated(violationLateStop, name, policy.DeniedStopping)
+	}
+}
+
+// maySend decides on an attempt by the facts given and the time of now.
+func (g *gate) maySend(s policy.Sending, now time.Time) policy.Denial {
+	s.Now = g.at(now)
+	return g.count(actSend, s.Decide())
+}
+
+// sent checks an attempt after its last byte was handed to the kernel.
+func (g *gate) sent(s policy.Sending, now time.Time, name string) {
+	s.Now = g.at(now) - holdUp
+	if d := s.Decide(); d != policy.Allowed {
+		g.violated(violationLateSend, name, d)
+	}
+}
+
+// mayClose decides on the end of a client's connection.
+func (g *gate) mayClose(c policy.Closing) policy.Denial { return g.count(actClose, c.Decide()) }
+
+// closed checks the end of a client's connection after it.
+func (g *gate) closed(c policy.Closing, name string) {
+	if d := c.Decide(); d != policy.Allowed {
+		g.violated(violationUnanswered, name, d)
+	}
+}
+
+// mayStart decides on something that takes so long.
+func (g *gate) mayStart(takes time.Duration) policy.Denial {
+	s := policy.Starting{Now: g.at(time.Now()), StopBy: time.Duration(g.stopBy.Load()), Takes: takes}
+	return g.count(actStart, s.Decide())
+}
+
+func (g *gate) count(a act, d policy.Denial) policy.Denial {
+	g.denied[a][d].Add(1)
+	return d
+}
+
+// violated counts a broken rule and says so.
+func (g *gate) violated(v violation, name string, why policy.Denial) {
+	g.violations[v].Add(1)
+	slog.Error("rule violated", "rule", v, "of", name, "why", why)
+}
+
+// gateCounters are what the gate has decided so far; only what is not zero has an entry.
+type gateCounters struct {
+	Decided  map[string]uint64 // by act and denial
+	Violated map[string]uint64 // by rule
+}
+
+func (g *gate) counters() gateCounters {
+	c := gateCounters{Decided: make(map[string]uint64), Violated: make(map[string]uint64)}
+	for a := range acts {
+		for d := range policy.Denials {
+			if n := g.denied[a][d].Load(); n > 0 {
+				c.Decided[fmt.Sprintf("%v: %v", a, d)] = n
+			}
+		}
+	}
+	for v := range violations {
+		if n := g.violations[v].Load(); n > 0 {
+			c.Violated[v.String()] = n
+		}
+	}
+	return c
+}
+
+// report logs them.
+func (g *gate) report() {
+	c := g.counters()
+	slog.Info("gate", "decided", c.Decided, "violated", c.Violated)
+}
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -27,10 +27,6 @@
 	acceptAgainIn = 5 * time.Millisecond
 )
 
-// turnedAwayAnswer goes to a connection for which there is no place. The second
-// is about what a client that keeps to its deadline takes to leave its own.
-const turnedAwayAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
 // clientCounters count what became of client connections, each decision apart.
 type clientCounters struct {
 	Accepted      uint64 // taken off the kernel's queue
@@ -43,6 +39,7 @@
 	Silent        uint64 // never said a thing in its time
 	Vanished      uint64 // ended by the client before its first byte
 	Drained       uint64 // idle, closed by a planned restart
+	Dismissed     uint64 // of those closed, the ones that were refused half a request before
 }
 
 // limitedListener hands connections to the HTTP server that have a place and
@@ -51,19 +48,25 @@
 // one whose client holds the least first. It takes none before begin is called.
 type limitedListener struct {
 	inner net.Listener
+	gate  *gate // of its connections; nil: none counts
 	ready chan *clientConn
 	over  chan struct{} // closed by Close
-	tasks sync.WaitGroup
+	// accepted is closed when begin was called and nothing is taken off the kernel's queue any more.
+	accepted chan struct{}
+	tasks    sync.WaitGroup
 
 	mu       sync.Mutex
 	table    *admission.Table[*clientConn]
 	limits   clientLimits
-	waiting  []*waitingConn // the longest waiting first; at most limits.Waiting and one
-	room     *sync.Cond     // waiting got shorter, or Close was called
-	again    *time.Timer    // when a grace or a wait ends
-	telling  int            // connections being told that they are refused
-	taken    int            // accepted and not ended, wherever they are
-	accepts  bool           // the listener still takes connections
+	waiting  []*waitingConn           // the longest waiting first; at most limits.Waiting and one
+	room     *sync.Cond               // waiting got shorter, or Close was called
+	again    *time.Timer              // when a grace or a wait ends
+	telling  int                      // connections being told that they are refused
+	taken    int                      // accepted and not ended, wherever they are
+	placed   map[*clientConn]struct{} // that have a place
+	stopping bool                     // what is in the kernel's queue is taken, and then no more
+	accepts  bool                     // the listener still takes connections
+	began    bool                     // begin was called
 	draining bool
 	closed   bool
 	gone     chan struct{} // closed when nothing is accepted any more and every connection has ended
@@ -78,7 +81,7 @@
 
 func limitListener(inner net.Listener, limits clientLimits) *limitedListener {
 	l := &limitedListener{
-		inner: inner, limits: limits, accepts: true,
+		inner: inner, limits: limits, accepts: true, placed: make(map[*clientConn]struct{}), accepted: make(chan struct{}),
 		ready: make(chan *clientConn), over: make(chan struct{}), gone: make(chan struct{}),
 		table: admission.New[*clientConn](limits.Limits, admission.Grace{Speak: speakIn, Finish: finishIn}),
 	}
@@ -92,7 +95,15 @@
 }
 
 // begin takes connections from now on.
-func (l *limitedListener) begin() { l.tasks.Go(l.accept) }
+func (l *limitedListener) begin() {
+	l.mu.Lock()
+	l.began = true
+	l.mu.Unlock()
+	l.tasks.Go(func() {
+		defer close(l.accepted)
+		l.accept()
+	})
+}
 
 // Addr is the address that is listened on.
 func (l *limitedListener) Addr() net.Addr { return l.inner.Addr() }
@@ -127,6 +138,22 @@
 	return err
 }
 
+// backlogIn is for the connections that wait in the kernel's queue as the listener ends: they have
+// been accepted there, and requests may have been written to them.
+const backlogIn = 20 * time.Millisecond
+
+// takeBacklog takes what waits in the kernel's queue, and then no more.
+func (l *limitedListener) takeBacklog() {
+	l.mu.Lock()
+	l.stopping = true
+	began := l.began
+	l.room.Broadcast()
+	l.mu.Unlock()
+	if t, ok := l.inner.(*net.TCPListener); ok && began && t.SetDeadline(time.Now().Add(backlogIn)) == nil {
+		<-l.accepted
+	}
+}
+
 // stopAccepting closes the listening socket alone: what was accepted goes on.
 func (l *limitedListener) stopAccepting() error {
 	err := l.inner.Close()
@@ -147,7 +174,7 @@
 		nc, err := l.inner.Accept()
 		if err != nil {
 			l.mu.Lock()
-			accepts := l.accepts
+			accepts := l.accepts && !l.stopping
 			l.mu.Unlock()
 			if !accepts || errors.Is(err, net.ErrClosed) {
 				return
@@ -178,13 +205,14 @@
 		return
 	}
 	l.taken++
+	c.gate = l.gate
 	l.count.Accepted++
 	l.waiting = append(l.waiting, &waitingConn{conn: c, addr: addr, since: c.accepted})
 	l.serveWaiting(c.accepted)
 	for len(l.waiting) > l.limits.Waiting && !l.closed {
 		worst := l.greediest()
 		atItsLimit := l.limits.PerAddress < l.limits.Total && l.table.Held(l.waiting[worst].addr) >= l.limits.PerAddress
-		if atItsLimit || l.table.NextOverdue().IsZero() {
+		if atItsLimit || l.stopping || l.table.NextOverdue().IsZero() {
 			l.refuse(worst)
 			continue
 		}
@@ -267,7 +295,8 @@
 	if counter = &l.count.GivenUpSilent; p.Idle() {
 		counter = &l.count.GivenUpIdle
 	}
-	switch c.closeIdle(!p.Idle()) {
+	state, owed := c.closeIdle(!p.Idle())
+	switch state {
 	case connBusy:
 		l.table.Taken(p, now) // a moment ago
 		return nil, false
@@ -276,9 +305,30 @@
 		return nil, false
 	}
 	l.table.Remove(p)
+	if owed {
+		l.dismissLocked(c)
+	}
 	return counter, true
 }
 
+// dismissLocked answers a connection that is closed over half a request.
+func (l *limitedListener) dismissLocked(c *clientConn) {
+	l.count.Dismissed++
+	if l.telling >= l.limits.Telling {
+		c.dismiss(true)
+		return
+	}
+	l.telling++
+	l.taken++ // until it has been told
+	l.tasks.Go(func() {
+		c.dismiss(false)
+		l.mu.Lock()
+		l.telling--
+		l.ended()
+		l.mu.Unlock()
+	})
+}
+
 // admit gives a connection its place. Its first byte is waited for here.
 func (l *limitedListener) admit(w *waitingConn, now time.Time) {
 	c := w.conn
@@ -287,6 +337,7 @@
 		l.count.Waited++
 	}
 	l.table.Add(&c.place, w.addr, now)
+	l.placed[c] = struct{}{}
 	l.tasks.Go(func() {
 		err := c.awaitFirst()
 		l.mu.Lock()
@@ -344,7 +395,7 @@
 	l.unlist(i)
 	l.count.Refused++
 	c.TCPConn.SetDeadline(time.Now().Add(lingerIn))
-	_, err := io.WriteString(c.TCPConn, turnedAwayAnswer) // the first bytes on it: they fit its buffer
+	_, err := io.WriteString(c.TCPConn, refusedAnswer) // the first bytes on it: they fit its buffer
 	if err != nil || l.telling >= l.limits.Telling {
 		c.discardUnread()
 		c.Close()
@@ -366,6 +417,7 @@
 
 // end takes a connection out that has ended.
 func (l *limitedListener) end(c *clientConn) {
+	delete(l.placed, c)
 	l.table.Remove(&c.place)
 	l.ended()
 	l.serveWaiting(time.Now())
@@ -423,6 +475,26 @@
 	}
 }
 
+// closeRest ends every connection that has no request in work: what was read of one is refused
+// first. Those in work end with their answers.
+func (l *limitedListener) closeRest() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.waiting) > 0 {
+		l.refuse(0)
+	}
+	for c := range l.placed {
+		state, owed := c.closeIdle(true)
+		if state != connClosed {
+			continue
+		}
+		l.table.Remove(&c.place)
+		if l.count.Drained++; owed {
+			l.dismissLocked(c)
+		}
+	}
+}
+
 // isDraining says whether drain was called.
 func (l *limitedListener) isDraining() bool {
 	l.mu.Lock()
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -27,8 +27,10 @@
 	repeat bool
 	work   time.Duration // a guess at it; 0 where there is none
 	key    uint64        // a hash of what it concerns; 0 where that is not said
-	began  time.Time     // when it was read
+	conn   *clientConn   // it came on; nil: none, as in tests
+	began  time.Time     // when it came
 	until  time.Time     // when the client gives up
+	stopBy time.Time     // the process has to have answered it by then; zero: it serves on
 	method string
 	url    *url.URL
 	host   string
@@ -43,6 +45,25 @@
 	timedOut bool // the last attempt did
 }
 
+// answerBy is until when it has to be answered: its client's time, or the process's.
+func (r *request) answerBy() time.Time {
+	if !r.stopBy.IsZero() && r.stopBy.Before(r.until) {
+		return r.stopBy
+	}
+	return r.until
+}
+
+// stopIn is how long the process may still take over it; 0: it serves on.
+func (r *request) stopIn() time.Duration {
+	if r.stopBy.IsZero() {
+		return 0
+	}
+	return max(1, time.Until(r.stopBy))
+}
+
+// left says whether its client has closed the connection by now.
+func (r *request) left() bool { return r.conn != nil && r.conn.left() }
+
 // The events that I/O goroutines send to the loop.
 type (
 	arrived struct{ req *request }
@@ -348,7 +369,8 @@
 		return
 	}
 	l.b.Request(l.now, policy.Request{
-		ID: r.id, Class: r.class, Tenant: r.tenant, Repeat: r.repeat, Work: r.work, Key: r.key, Left: time.Until(r.until),
+		ID: r.id, Class: r.class, Tenant: r.tenant, Repeat: r.repeat, Work: r.work, Key: r.key,
+		Left: time.Until(r.until), StopIn: r.stopIn(),
 	})
 }
 
@@ -541,7 +563,7 @@
 	if r == nil {
 		return
 	}
-	until, startBy := r.until, time.Time{}
+	until, startBy := r.answerBy(), time.Time{}
 	if timeout != 0 {
 		if cut := time.Now().Add(timeout); cut.Before(until) {
 			until = cut
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -1,93 +1,19 @@
 package sidecar
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"barleywick/internal/queue"
+	"barleywick/policy"
 )
 
-// peer is one upstream to the pool. It stands for the host and not for its
-// address, which may be another host's tomorrow. The pool's lock guards it.
-type peer struct {
-	addr string
-
-	gone    bool
-	drains  bool                // it finishes what it has: no request is to be written to it
-	idle    queue.List[*conn]   // the most recently used last
-	waiting queue.List[*waiter] // the longest waiting first
-	blocked queue.Node[*peer]   // among those that a bound on all upstreams holds up
-	open    int                 // connections, and handshakes under way
-	dialing int                 // handshakes under way
-	window  int                 // how many may be: see grow
-	madeAt  time.Time           // the last connection that came up
-	heard   time.Time           // the last answer, or connection that came up
-	peak    int                 // most connections in use at once, in this while and in the last one
-	before  int
-	peakAt  time.Time // when this while began
-}
-
-// conn is a connection to an upstream; it carries one request at a time.
-type conn struct {
-	net.Conn
-	peer    *peer
-	idle    time.Time     // since when it has been idle
-	keep    time.Duration // and how long it may be
-	inPeer  queue.Node[*conn]
-	inAll   queue.Node[*conn]
-	buffers *buffers // while it carries a request
-}
-
-// buffers are what a connection needs while it carries a request and not while it is idle.
-type buffers struct {
-	limit io.LimitedReader // bounds what one answer may bring
-	heads tap              // what came first, read through limit
-	r     *bufio.Reader    // reads through heads
-	out   bytes.Buffer     // a request is gathered here, so that it goes out in one write
-}
-
-// keptBuffer is how large a request's buffer may be to be used again.
-const keptBuffer = 8 << 10
-
-var spareBuffers = sync.Pool{New: func() any {
-	b := new(buffers)
-	b.r = bufio.NewReader(&b.limit)
-	return b
-}}
-
-// lend gives a connection buffers for one exchange.
-func (c *conn) lend() *buffers {
-	b := spareBuffers.Get().(*buffers)
-	b.limit.R, b.heads.from = c.Conn, &b.limit
-	b.heads.restart()
-	b.r.Reset(&b.heads)
-	b.out.Reset()
-	c.buffers = b
-	return b
-}
-
-// giveBack takes them back, and says whether all that came had been read.
-func (c *conn) giveBack() (clean bool) {
-	b := c.buffers
-	c.buffers = nil
-	clean = b.r.Buffered() == 0
-	b.limit.R = nil
-	if b.out.Cap() <= keptBuffer {
-		spareBuffers.Put(b)
-	}
-	return clean
-}
-
 // waiter is a caller that waits for a connection.
 type waiter struct {
 	since time.Time
@@ -120,6 +46,10 @@
 	open    int // connections, and handshakes under way
 	dialing int
 	idle    queue.List[*conn] // the longest idle first
+	resting restHeap          // the one whose rest ends first on top
+	rested  *time.Timer       // when that is
+	excess  time.Time         // when something came last that belongs to no request, from any upstream
+	answers answerMemory
 	blocked queue.List[*peer] // upstreams whose next handshake a bound on all holds up
 	waiting int
 	count   poolCounters
@@ -139,6 +69,11 @@
 	Distrusted  uint64 // idle to an upstream that fell silent
 	Retired     uint64 // to an upstream that has gone or was replaced
 	Drained     uint64 // to an upstream that drains
+	Excess      uint64 // connections on which something came that belongs to no request
+	Repeated    uint64 // answers that were an earlier request's, and given to nobody
+	SingleUse   uint64 // closed after one answer, as their upstream had sent an excess lately
+	ShortRest   uint64 // rests cut short for want of connections
+	Local       uint64 // handshakes that failed for want of something on this machine
 }
 
 const (
@@ -151,11 +86,6 @@
 	// needFor is how long what was in use at once is held to be needed. Twice that is
 	// well under the time upstreams keep an idle connection.
 	needFor = 10 * time.Second
-	// restFor is how long a connection rests between an answer and the next
-	// request: what comes behind an answer and belongs to none shows by then, and
-	// must not be read as the next one's answer. A second answer may come some
-	// milliseconds late; 5 were seen.
-	restFor = 10 * time.Millisecond
 	// firstWindow is how many handshakes an upstream gets at once before one has succeeded.
 	firstWindow = 2
 )
@@ -171,13 +101,15 @@
 
 func newPool(dialTimeout, connIdle time.Duration, limits poolLimits, seed uint64) *pool {
 	life, end := context.WithCancel(context.Background())
-	return &pool{
+	p := &pool{
 		dialTimeout: dialTimeout,
 		idleFor:     max(connIdle-idleMargin, connIdle/2),
 		life:        life, end: end,
 		limits: limits,
 		rng:    rand.New(rand.NewPCG(seed, 1)),
 	}
+	p.rested = time.AfterFunc(time.Hour, p.endRests)
+	return p
 }
 
 // close ends handshakes under way and closes what is idle. Connections that are
@@ -192,6 +124,10 @@
 	for n := p.idle.Front(); n != nil; n = p.idle.Front() {
 		p.closeLocked(n.Value)
 	}
+	for len(p.resting) > 0 {
+		p.closeLocked(p.resting[0])
+	}
+	p.rested.Stop()
 }
 
 // setLimits puts other limits in force. Idle connections beyond them are closed
@@ -205,8 +141,7 @@
 	p.unblockLocked()
 }
 
-// get returns an idle connection to the upstream, the most recently used that has
-// rested, or waits for one: for a handshake, or for another request to end. The error
+// get returns an idle connection to the upstream, the most recently used, or waits for one: for a handshake, or for another request to end. The error
 // errBounded says that the pool's own limits were the reason.
 func (p *pool) get(ctx context.Context, to *peer) (*conn, error) {
 	for {
@@ -214,12 +149,15 @@
 		if err != nil {
 			return nil, err
 		}
-		time.Sleep(restFor - time.Since(c.idle))
-		if c.usable(time.Now()) {
+		ok, excess := c.usable(time.Now())
+		if ok {
 			return c, nil
 		}
 		p.mu.Lock()
 		p.count.Stale++
+		if excess {
+			p.excessLocked(c)
+		}
 		p.mu.Unlock()
 		p.drop(c)
 	}
@@ -229,9 +167,6 @@
 	p.mu.Lock()
 	if n := to.idle.Back(); n != nil && to.closedTo() == nil {
 		c := n.Value
-		if time.Since(c.idle) < restFor { // the one that is idle for longest has rested the most
-			c = to.idle.Front().Value
-		}
 		p.takeLocked(c)
 		p.count.Reused++
 		p.mu.Unlock()
@@ -285,27 +220,6 @@
 	c.peer.used(time.Now())
 }
 
-// closedTo returns an error if the upstream is to get nothing new.
-func (to *peer) closedTo() error {
-	switch {
-	case to.gone:
-		return errGone
-	case to.drains:
-		return errDrains
-	}
-	return nil
-}
-
-// used notes how many connections to the upstream are in use at once.
-func (to *peer) used(now time.Time) {
-	if past := now.Sub(to.peakAt); past >= 2*needFor {
-		to.peak, to.before, to.peakAt = 0, 0, now
-	} else if past >= needFor {
-		to.peak, to.before, to.peakAt = 0, to.peak, now
-	}
-	to.peak = max(to.peak, to.open-to.dialing-to.idle.Len())
-}
-
 // openLocked begins handshakes with an upstream while somebody waits for more
 // than are under way and the bounds allow.
 func (p *pool) openLocked(to *peer) {
@@ -348,10 +262,15 @@
 	p.dialing--
 	to.dialing--
 	if err != nil {
-		p.count.DialFailed++
-		to.window = 1
 		p.open--
 		to.open--
+		if isLocal(err) { // no word against the upstream
+			p.count.Local++
+			err = errBounded
+		} else {
+			p.count.DialFailed++
+			to.window = 1
+		}
 		if ctx.Err() != nil {
 			p.distrustLocked(to, begun)
 		}
@@ -363,20 +282,12 @@
 	p.count.Opened++
 	to.grow()
 	to.madeAt, to.heard = now, now
-	c := &conn{Conn: nc, peer: to, idle: now.Add(-restFor)} // nothing can be left over from an answer
+	c := &conn{Conn: nc, peer: to, idle: now}
 	c.inPeer.Value, c.inAll.Value = c, c
 	to.used(now)
-	p.putLocked(c)
+	p.putLocked(c) // nothing can be left over from an answer: it needs no rest
 }
 
-// grow lets an upstream have one more handshake at once for each that succeeded.
-// One that was out of reach begins again with one: it comes back for all
-// sidecars at the same moment, and cold.
-func (to *peer) grow() { to.window = min(max(to.window, firstWindow-1)+1, maxWindow) }
-
-// maxWindow is above any limit on handshakes to one upstream that makes sense.
-const maxWindow = 64
-
 // giveLocked serves the one that waits longest, if any does.
 func (p *pool) giveLocked(to *peer, g got) bool {
 	n := to.waiting.Front()
@@ -406,7 +317,7 @@
 	p.mu.Unlock()
 }
 
-// putLocked gives a connection to who waits longest for it, or keeps it idle.
+// putLocked takes a connection back that carries no request, or a new one in.
 func (p *pool) putLocked(c *conn) {
 	to, fresh := c.peer, c.keep == 0
 	c.keep = time.Duration(float64(p.idleFor) * (1 - idleJitter*p.rng.Float64()))
@@ -420,18 +331,27 @@
 	case p.life.Err() != nil || p.open > p.limits.Total || to.open > p.limits.PerServer: // the limits are new
 		p.count.Evicted++
 		p.closeLocked(c)
-	case p.giveLocked(to, got{conn: c}):
-		if !fresh {
-			p.count.Reused++
-		}
-	default: // a fresh one came up for somebody who has left
-		to.idle.Push(&c.inPeer)
-		p.idle.Push(&c.inAll)
+	case fresh:
+		p.offerLocked(c)
+	case c.idle.Sub(to.excess) < suspectFor:
+		p.count.SingleUse++
+		p.closeLocked(c)
+	default:
+		p.restLocked(c)
 	}
 	p.openLocked(to)
 	p.unblockLocked()
 }
 
+// offerLocked gives a connection to who waits longest for it, or keeps it idle.
+func (p *pool) offerLocked(c *conn) {
+	if p.giveLocked(c.peer, got{conn: c}) {
+		return
+	}
+	c.peer.idle.Push(&c.inPeer)
+	p.idle.Push(&c.inAll)
+}
+
 // drop closes a connection that came from get.
 func (p *pool) drop(c *conn) {
 	p.mu.Lock()
@@ -445,19 +365,24 @@
 func (p *pool) closeLocked(c *conn) {
 	c.inPeer.Remove()
 	c.inAll.Remove()
+	p.resting.remove(c)
 	c.Close()
 	p.open--
 	c.peer.open--
 }
 
-// evictLocked closes the connection that has been idle longest.
+// evictLocked closes the connection that has been idle longest, or else one that rests.
 func (p *pool) evictLocked() bool {
-	n := p.idle.Front()
-	if n == nil {
+	var c *conn
+	if n := p.idle.Front(); n != nil {
+		c = n.Value
+	} else if len(p.resting) > 0 {
+		c = p.resting[0]
+	} else {
 		return false
 	}
 	p.count.Evicted++
-	p.closeLocked(n.Value)
+	p.closeLocked(c)
 	return true
 }
 
@@ -480,19 +405,26 @@
 	if to.heard.After(since) {
 		return
 	}
-	for n := to.idle.Front(); n != nil; n = to.idle.Front() {
-		p.count.Distrusted++
-		p.closeLocked(n.Value)
+	for _, list := range []*queue.List[*conn]{&to.idle, &to.resting} {
+		for n := list.Front(); n != nil; n = list.Front() {
+			p.count.Distrusted++
+			p.closeLocked(n.Value)
+		}
 	}
 }
 
-// mayWrite says whether a request may be written to the upstream now. Between the
-// choice of an upstream and the write lies a handshake, and meanwhile the list may
-// have said that it drains.
-func (p *pool) mayWrite(to *peer) error {
+// stateOf is what the list says of an upstream by now. Between its choice and the write lies a
+// handshake, and meanwhile the list may have said that it drains.
+func (p *pool) stateOf(to *peer) policy.State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return to.closedTo()
+	switch {
+	case to.gone:
+		return policy.Gone
+	case to.drains:
+		return policy.Draining
+	}
+	return policy.Ready
 }
 
 // drain closes the idle connections to an upstream that drains, and the others as
@@ -526,9 +458,11 @@
 
 func (p *pool) shutLocked(to *peer, why error, counter *uint64) {
 	to.blocked.Remove()
-	for n := to.idle.Front(); n != nil; n = to.idle.Front() {
-		*counter++
-		p.closeLocked(n.Value)
+	for _, list := range []*queue.List[*conn]{&to.idle, &to.resting} {
+		for n := list.Front(); n != nil; n = list.Front() {
+			*counter++
+			p.closeLocked(n.Value)
+		}
 	}
 	for p.giveLocked(to, got{err: why}) {
 	}
@@ -549,6 +483,9 @@
 			p.closeLocked(c)
 		case !quiet(c.Conn):
 			p.count.Stale++
+			if look(c.Conn) == socketExcess {
+				p.excessLocked(c)
+			}
 			p.closeLocked(c)
 		case now.Sub(c.idle) >= 2*needFor && c.peer.open-c.peer.dialing > c.peer.needed(now):
 			p.count.Unneeded++
@@ -558,32 +495,14 @@
 	p.unblockLocked()
 }
 
-// needed is how many connections to the upstream were in use at once lately; one
-// at least, as a handshake costs more than keeping it.
-func (to *peer) needed(now time.Time) int {
-	switch past := now.Sub(to.peakAt); {
-	case past >= 2*needFor:
-		return 1
-	case past >= needFor:
-		return max(1, to.peak)
-	}
-	return max(1, to.peak, to.before)
-}
-
-// usable says whether an idle connection may carry a request: young enough, and
-// neither closed by the peer nor with bytes that nobody asked for.
-func (c *conn) usable(now time.Time) bool {
-	return now.Sub(c.idle) < c.keep && quiet(c.Conn)
-}
-
 // poolState is what is open at a moment.
-type poolState struct{ Open, Idle, Handshakes, Waiting int }
+type poolState struct{ Open, Idle, Resting, Handshakes, Waiting int }
 
 // counters returns what was counted so far, and what is open now.
 func (p *pool) counters() (poolCounters, poolState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.count, poolState{p.open, p.idle.Len(), p.dialing, p.waiting}
+	return p.count, poolState{p.open, p.idle.Len(), len(p.resting), p.dialing, p.waiting}
 }
 
 // report logs them.
@@ -591,22 +510,3 @@
 	count, now := p.counters()
 	slog.Info("upstream connections", "now", now, "counters", count)
 }
-
-// quiet looks at a socket without blocking: nothing to read and not closed. It
-// goes past the lock of readers, one of which may be waiting on the socket.
-func quiet(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	still := false
-	err = raw.Control(func(fd uintptr) {
-		_, err := peek(fd)
-		still = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && still
-}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -48,7 +48,8 @@
 	defer ln.Close()
 	pool := newPool(c.DialTimeout, c.ConnIdle, c.Connections.Servers, c.Seed)
 	defer pool.close()
-	up := &upstreams{pool: pool, loadFields: c.LoadFields, statsPath: "/health/live"}
+	up := newUpstreams(pool)
+	up.loadFields = c.LoadFields
 	if c.Policy.Reports {
 		up.statsPath = "/stats"
 	}
@@ -78,9 +79,11 @@
 	governed, dismiss := context.WithCancel(run)
 	defer dismiss()
 	l.speaking = limited.speaking
+	limited.gate = up.gate
 	l.report = func() {
 		limited.report()
 		pool.report()
+		up.gate.report()
 	}
 	var gov *governor
 	ungoverned := make(chan error, 1)
@@ -131,7 +134,7 @@
 	loops.Go(func() { l.run(run) })
 	loops.Go(func() { sweep(run, pool) })
 
-	ending := newDrain(limited)
+	ending := newDrain(limited, up.gate, policy.StopWithin(c.Policy.Classes))
 	clients := newClients(c, l, ending)
 	clients.governor, clients.adviser, clients.member = gov, adv, member
 	if member != nil {
@@ -205,7 +208,6 @@
 			if err := ending.hand(); err != nil {
 				return err
 			}
-			stop = context.Background() // it ends as it is
 			loops.Go(func() { next.tell(run, l.leave) })
 		case <-stop.Done():
 			if !inPlace && len(took) == 0 {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -150,6 +150,7 @@
 		time.Sleep(c.upTo(longestSilence))
 	}
 	r, text := c.request()
+	r.how = how
 	c.ledger.open(r)
 	c.ledger.saw("clients: " + how.String())
 	if c.ended() { // nothing was written: it goes on a new connection
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -81,6 +81,7 @@
 	id, class string
 	sidecar   *sidecar
 	timeout   time.Duration
+	how       manner
 	// whole is when its last byte was written; zero: it never was.
 	whole time.Time
 	// left is when the client closed its connection; zero: it did not.
@@ -128,6 +129,7 @@
 }
 
 func (l *ledger) brokenLocked(i Invariant, format string, args ...any) {
+	l.seen[fmt.Sprint("broken: ", i)]++
 	if l.count++; len(l.cases) < maxReportedCases {
 		l.cases = append(l.cases, Case{i, fmt.Sprintf(format, args...)})
 	}
@@ -216,7 +218,7 @@
 	case r.status == 0 && killed:
 		l.seen["requests of a killed sidecar"]++
 	case r.status == 0:
-		l.brokenLocked(InvariantAnswered, "%s of %s, %d attempts: %v", r.id, r.class, len(r.attempts), r.err)
+		l.brokenLocked(InvariantAnswered, "%s of %s, %v, %d attempts: %v", r.id, r.class, r.how, len(r.attempts), r.err)
 	case r.answered.Sub(r.whole) > r.timeout+answerSlack+holdUp:
 		l.brokenLocked(InvariantAnswered, "%s: its answer took %v of %v", r.id, r.answered.Sub(r.whole), r.timeout)
 	default:
--- a/policy/api.go
+++ b/policy/api.go
@@ -121,6 +121,7 @@
 	Class  int
 	Tenant int
 	Left   time.Duration // until the client gives up
+	StopIn time.Duration // until this process has to have answered it; 0: it serves on
 	Work   time.Duration // expected work; 0 where unknown
 	Key    uint64        // what it concerns; requests of one key belong together; 0: none
 	Repeat bool          // known to be a client's own further try
--- /dev/null
+++ b/policy/permit.go
@@ -0,0 +1,153 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+// Permits are the one place that decides whether something may be done now: whether an attempt
+// may be sent or repeated, a connection closed, or something new started. The Balancer asks as it
+// chooses, the program that embeds it asks again in the moment before it acts, with the time and
+// the facts of that moment. Everything here is a pure function: no I/O and no clock.
+
+// NoLimit is a point in time that never comes.
+const NoLimit = time.Duration(math.MaxInt64)
+
+// Denial says why something may not be done now.
+type Denial int
+
+// The denials. Allowed is none.
+const (
+	Allowed        Denial = iota
+	DeniedAnswered        // the request has its answer already
+	DeniedLeft            // its client has left
+	DeniedLate            // its client's time is over
+	DeniedStopping        // the process has to be done
+	DeniedAttempts        // it has had all attempts, or one is still out
+	DeniedEffect          // it may have run, and its class allows no repeat
+	DeniedWindow          // the time in which it may be repeated is over
+	DeniedServer          // the server drains or has left the list
+	DeniedCold            // the server is cold and its budget is used up
+	DeniedOwed            // an answer is owed on the connection
+	Denials               // how many there are
+)
+
+func (d Denial) String() string {
+	names := [Denials]string{
+		"allowed", "answered", "client left", "late", "stopping", "attempts used up", "may have run", "window over",
+		"server drains or is gone", "server is cold", "answer owed",
+	}
+	if d < 0 || d >= Denials {
+		return "unknown"
+	}
+	return names[d]
+}
+
+// Sending is what is known as an attempt is to be sent. Times are on one monotonic clock; NoLimit
+// stands for a bound that does not exist.
+type Sending struct {
+	Now      time.Duration
+	Until    time.Duration // the client waits until then
+	StopBy   time.Duration // the process has to be done by then
+	RepeatBy time.Duration // what may have run may be repeated until then
+
+	Answered   bool
+	ClientLeft bool
+	Server     State
+	Cold       bool // the server is cold and has nothing left of its budget
+	Attempts   int  // so far
+	Most       int  // allowed; 0: not limited here
+	Out        int  // attempts that have not ended
+	MayHaveRun bool // an earlier attempt may have run
+	Repeatable bool // and the class allows another one at this server
+}
+
+// Decide says whether the attempt may be sent.
+func (s Sending) Decide() Denial {
+	switch {
+	case s.Answered:
+		return DeniedAnswered
+	case s.ClientLeft:
+		return DeniedLeft
+	case s.Now >= s.Until:
+		return DeniedLate
+	case s.Now >= s.StopBy:
+		return DeniedStopping
+	case s.Most > 0 && s.Attempts >= s.Most || s.Out > 0:
+		return DeniedAttempts
+	case s.MayHaveRun && !s.Repeatable:
+		return DeniedEffect
+	case s.MayHaveRun && s.Now >= s.RepeatBy:
+		return DeniedWindow
+	case s.Server != Ready:
+		return DeniedServer
+	case s.Cold:
+		return DeniedCold
+	}
+	return Allowed
+}
+
+// Closing is what is known as a client's connection is to be closed.
+type Closing struct {
+	Taken    bool // a request of it is in work
+	Read     bool // something of a request was read that has no answer
+	Answered bool // an answer of our own, a refusal, goes out before the close
+}
+
+// Decide says whether the connection may be closed. What was read is owed an answer; what was
+// not read its client sends again.
+func (c Closing) Decide() Denial {
+	if c.Taken || c.Read && !c.Answered {
+		return DeniedOwed
+	}
+	return Allowed
+}
+
+// Starting is what is known as something new is to be started that takes time: a handshake, a
+// probe, the wait for a request.
+type Starting struct {
+	Now    time.Duration
+	StopBy time.Duration // the process has to be done by then
+	Takes  time.Duration // it takes at most so long
+}
+
+// Decide says whether it may be started.
+func (s Starting) Decide() Denial {
+	if s.StopBy != NoLimit && s.Now+s.Takes > s.StopBy {
+		return DeniedStopping
+	}
+	return Allowed
+}
+
+// Planned ends: the platform kills a process no sooner than the longest deadline, counted as
+// stopLongest where it is longer, and stopExtra after it has told the process to end.
+const (
+	stopLongest = 3 * time.Second
+	stopExtra   = 700 * time.Millisecond
+	// stopMargin is kept to the kill: for a signal that is handled late, a process that is held
+	// up for 0.15 s as it answers, and the answers' way.
+	stopMargin = 250 * time.Millisecond
+	// repeatMargin is kept to the end of the time in which a request may be repeated, for the same
+	// hold-up and the way to the server.
+	repeatMargin = 200 * time.Millisecond
+)
+
+// StopWithin is in which time after it is told to end a process has to have answered everything.
+func StopWithin(classes []Class) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range classes {
+		longest = max(longest, c.Deadline)
+	}
+	if longest == 0 {
+		longest = stopLongest
+	}
+	return min(longest, stopLongest) + stopExtra - stopMargin
+}
+
+// stop bounds what a request may wait for by the time by which the process has to be done.
+func (r *request) stop(by time.Duration) {
+	r.stopBy = by
+	r.deadline = min(r.deadline, by)
+	r.useful = min(r.useful, r.deadline)
+	r.aimAt = min(r.aimAt, r.deadline)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,7 +34,8 @@
 	if len(cfg.Tenants) == 0 {
 		cfg.Tenants = []Tenant{{Share: 1}}
 	}
-	b := &Balancer{cfg: cfg, host: host, requests: make(map[RequestID]*request), zones: make(map[int]*zone)}
+	b := &Balancer{cfg: cfg, host: host}
+	b.requests, b.zones = make(map[RequestID]*request), make(map[int]*zone)
 	b.parts, b.walls = make([]compartment, len(cfg.Tenants)), make([]Held, len(cfg.Tenants))
 	b.attempts, b.probing, b.balancers = cfg.MaxAttempts, cfg.MayProbe, cfg.Balancers
 	b.rng = rand.New(rand.NewPCG(seed, 0))
@@ -83,7 +84,8 @@
 	if _, held := b.requests[q.ID]; held {
 		return
 	}
-	if q.Class < 0 || q.Class >= len(b.classes) || q.Tenant < 0 || q.Tenant >= len(b.parts) || q.Left <= 0 {
+	unknown := q.Class < 0 || q.Class >= len(b.classes) || q.Tenant < 0 || q.Tenant >= len(b.parts)
+	if unknown || q.Left <= 0 {
 		b.count.Refused++
 		b.host.Refuse(q.ID, 0)
 		return
@@ -98,6 +100,9 @@
 	if r.useful = r.aimAt; r.class.LateShare > 0 || (r.class.AimStretch > 0 && q.Work == 0) {
 		r.useful = r.deadline
 	}
+	if r.stopBy = NoLimit; q.StopIn > 0 {
+		r.stop(now + q.StopIn)
+	}
 	b.expect(q.Work)
 	b.requests[r.id] = r
 	b.open = append(b.open, r)
@@ -274,7 +279,7 @@
 	switch {
 	case first == nil || r.class.Effect == Safe:
 		return true
-	case r.class.Effect == Unsafe || now >= first.sent+r.class.Window:
+	case r.class.Effect == Unsafe || now >= r.repeatBy(first):
 		return false
 	case s == nil || r.class.Scope == ScopeAll:
 		return true
@@ -282,19 +287,23 @@
 	return s.Zone == first.to.Zone && (r.class.Scope == ScopeZone || s.Cell == first.to.Cell)
 }
 
-// mayGo is the gate: whether the rules let a request go to a server now.
+// repeatBy is until when a keyed request may be sent again. A margin is kept to the window's end:
+// the sender may be held up between this decision and its write.
+func (r *request) repeatBy(first *attempt) time.Duration {
+	return first.sent + r.class.Window - min(repeatMargin, r.class.Window/4)
+}
+
+// mayGo says whether the rules let a request go to a server now.
 func (b *Balancer) mayGo(now time.Duration, r *request, s *server) bool {
-	switch {
-	case r.over || r.begun || now >= r.deadline || len(r.attempts) >= b.cfg.MaxAttempts:
-		return false // rule 1, and the limit on attempts
-	case s.State != Ready:
-		return false // rule 3: at once, long before the grace is over
-	case !b.mayWarm(now, r, s):
-		return false // rule 4
-	case r.out > 0 || !r.mayRepeat(now, s):
-		return false // rule 2: one attempt at a time, and only where it may be repeated
+	sending := Sending{
+		Now: now, Until: r.deadline, StopBy: r.stopBy, RepeatBy: NoLimit,
+		Answered: r.over || r.begun, Server: s.State, MayHaveRun: r.ran() != nil,
+		Attempts: len(r.attempts), Most: b.cfg.MaxAttempts, Out: r.out,
 	}
-	return true
+	if sending.MayHaveRun {
+		sending.Repeatable = r.mayRepeat(now, s)
+	}
+	return sending.Decide() == Allowed && b.mayWarm(now, r, s)
 }
 
 // send is the one place that sends.
@@ -305,7 +314,7 @@
 	b.charge(now, r, s)
 	start := time.Duration(0)
 	if first := r.ran(); first != nil && r.class.Effect == Keyed {
-		start = first.sent + r.class.Window - now
+		start = r.repeatBy(first) - now
 	}
 	r.attempts = append(r.attempts, attempt{to: s, sent: now})
 	r.out++
--- a/policy/state.go
+++ b/policy/state.go
@@ -52,6 +52,7 @@
 	class    *class
 	home     *compartment
 	deadline time.Duration // the client's
+	stopBy   time.Duration // the process has to be done by then; NoLimit: it serves on
 	useful   time.Duration // an answer after this earns nothing
 	aimAt    time.Duration // and after this not all
 	attempts []attempt
