Answers are told apart by their text; rests are long only until that is sure or after an excess

Now an answer equal to one of its connection's last eight is a second copy and passed over, once eight answers in a row had differed from all others'; rests are 10 ms then, and 200 ms before, or for 30 s after a server's excess. A connection that has rested within 10 ms is waited for instead of a handshake.

--- a/internal/sidecar/answers.go
+++ b/internal/sidecar/answers.go
@@ -1,24 +1,41 @@
 package sidecar
 
-import "hash/maphash"
+import (
+	"hash/maphash"
+	"slices"
+)
 
 // answerMemory knows whether answers tell requests apart: where none of the last answers was equal
-// to one on another connection, an answer that is equal to the one before it on its connection is
+// to one on another connection, an answer that is equal to an earlier one of its own connection is
 // that one once more, and belongs to no request.
 type answerMemory struct {
-	seed  maphash.Seed
-	known map[uint64]int // how often each is in ring
-	ring  [answersKept]uint64
-	next  int
-	seen  int // answers since the last that was equal to another connection's
+	seed    maphash.Seed
+	known   map[uint64]int // how often each is in ring
+	ring    [answersKept]uint64
+	next    int
+	differs int // answers since the last that was equal to another connection's
 }
 
 const (
 	answersKept = 64
 	// answersSure is how many answers in a row have to differ before equality means anything.
-	answersSure = 32
+	answersSure = 8
+	// answersOfConn is how many answers of a connection are compared: with their rests they reach
+	// back for longer than a second answer is late.
+	answersOfConn = 8
 )
 
+// recentAnswers are hashes of a connection's last answers; 0 is none.
+type recentAnswers struct {
+	hashes [answersOfConn]uint64
+	next   int
+}
+
+func (r *recentAnswers) add(hash uint64) {
+	r.hashes[r.next] = hash
+	r.next = (r.next + 1) % answersOfConn
+}
+
 // hash returns a body's hash; 0 is that of an empty one.
 func (m *answerMemory) hash(body []byte) uint64 {
 	if len(body) == 0 {
@@ -30,40 +47,41 @@
 	return max(1, maphash.Bytes(m.seed, body))
 }
 
-// note takes an answer in whose connection had another one before, and says whether it is the one
-// before once more.
-func (m *answerMemory) note(now, before uint64) (again bool) {
-	if now == 0 {
+// sure says whether equality means anything by now.
+func (m *answerMemory) sure() bool { return m.differs >= answersSure }
+
+// note takes an answer in, and says whether it is an earlier one of its connection once more.
+func (m *answerMemory) note(hash uint64, of *recentAnswers) (again bool) {
+	if hash == 0 {
 		return false
 	}
-	if now == before {
-		return m.seen >= answersSure
+	if slices.Contains(of.hashes[:], hash) {
+		return m.sure()
 	}
-	if m.known[now] > 0 {
-		m.seen = 0
+	of.add(hash)
+	if m.known[hash] > 0 {
+		m.differs = 0
 	} else {
-		m.seen++
+		m.differs++
 	}
 	old := m.ring[m.next]
 	if m.known[old]--; m.known[old] <= 0 {
 		delete(m.known, old)
 	}
-	m.ring[m.next] = now
-	m.known[now]++
+	m.ring[m.next] = hash
+	m.known[hash]++
 	m.next = (m.next + 1) % answersKept
 	return false
 }
 
-// isRepeated says whether an answer on a connection is the one before it once more.
+// isRepeated says whether an answer is an earlier one of its connection once more.
 func (p *pool) isRepeated(c *conn, body []byte) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	hash := p.answers.hash(body)
-	again := p.answers.note(hash, c.last)
-	c.last = hash
-	if again {
-		p.count.Repeated++
-		p.excessLocked(c)
+	if !p.answers.note(p.answers.hash(body), &c.last) {
+		return false
 	}
-	return again
+	p.count.Repeated++
+	p.excessLocked(c)
+	return true
 }
--- a/internal/sidecar/peer.go
+++ b/internal/sidecar/peer.go
@@ -42,7 +42,7 @@
 	idle    time.Time     // since when it has been idle
 	rested  time.Time     // when it may carry the next request
 	place   int           // in the heap of those that rest; 0: it is not there
-	last    uint64        // a hash of the last answer's body; 0: none
+	last    recentAnswers // of this connection
 	keep    time.Duration // and how long it may be
 	inPeer  queue.Node[*conn]
 	inAll   queue.Node[*conn]
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -48,7 +48,6 @@
 	idle    queue.List[*conn] // the longest idle first
 	resting restHeap          // the one whose rest ends first on top
 	rested  *time.Timer       // when that is
-	excess  time.Time         // when something came last that belongs to no request, from any upstream
 	answers answerMemory
 	blocked queue.List[*peer] // upstreams whose next handshake a bound on all holds up
 	waiting int
@@ -71,7 +70,6 @@
 	Drained     uint64 // to an upstream that drains
 	Excess      uint64 // connections on which something came that belongs to no request
 	Repeated    uint64 // answers that were an earlier request's, and given to nobody
-	SingleUse   uint64 // closed after one answer, as their upstream had sent an excess lately
 	ShortRest   uint64 // rests cut short for want of connections
 	Local       uint64 // handshakes that failed for want of something on this machine
 }
@@ -223,7 +221,11 @@
 // openLocked begins handshakes with an upstream while somebody waits for more
 // than are under way and the bounds allow.
 func (p *pool) openLocked(to *peer) {
-	for to.closedTo() == nil && p.life.Err() == nil && to.waiting.Len() > to.dialing &&
+	soon := 0
+	if to.waiting.Len() > 0 {
+		soon = to.restedSoon(time.Now())
+	}
+	for to.closedTo() == nil && p.life.Err() == nil && to.waiting.Len() > to.dialing+soon &&
 		to.open < p.limits.PerServer && to.dialing < min(max(to.window, firstWindow), p.limits.HandshakesPerServer) {
 		if p.dialing >= p.limits.Handshakes || (p.open >= p.limits.Total && !p.evictLocked()) {
 			if to.blocked.Value = to; !to.blocked.In() {
@@ -333,9 +335,6 @@
 		p.closeLocked(c)
 	case fresh:
 		p.offerLocked(c)
-	case c.idle.Sub(to.excess) < suspectFor:
-		p.count.SingleUse++
-		p.closeLocked(c)
 	default:
 		p.restLocked(c)
 	}
--- a/internal/sidecar/resting.go
+++ b/internal/sidecar/resting.go
@@ -9,23 +9,22 @@
 
 // A server may answer a request a second time, some milliseconds behind the first answer, and
 // nothing on the wire tells that from the answer to the connection's next request. So a connection
-// rests after each answer: what comes meanwhile belongs to nobody, and the connection is closed.
+// rests after each answer: what comes meanwhile belongs to nobody, and the connection is closed. What
+// comes later still is told by answerMemory, once that is sure of it; until then, and where a server
+// has sent an excess lately, rests are longer. A long rest costs handshakes: each request that finds
+// all connections at rest opens one more.
 
 const (
-	// restFor is how long a connection rests: a second answer comes some milliseconds late, and a
-	// process or a network that is held up for 0.15 s makes that more.
-	restFor = 200 * time.Millisecond
-	// leastRest is how long it rests at least where connections are short.
+	// leastRest is how long a connection rests at least.
 	leastRest = 10 * time.Millisecond
-	// warnedRest is the same while some upstream has sent an excess lately.
-	warnedRest = 50 * time.Millisecond
-	// Rests are cut short from this part of a limit on connections on, and as short as may be from
-	// the other on.
+	// longRest covers a second answer that comes some milliseconds late, and a process or a network
+	// that is held up for 0.15 s.
+	longRest = 200 * time.Millisecond
+	// Long rests are cut short from this part of a limit on connections on, and as short as may be
+	// from the other on.
 	scarceFrom, scarceFull = 0.5, 0.9
-	// suspectFor is how long after an excess connections to its upstream carry one request each.
-	suspectFor = 5 * time.Second
-	// warnedFor is how long after an excess of any upstream rests are not cut to the least.
-	warnedFor = 30 * time.Second
+	// suspectFor is how long after an excess connections to its upstream take long rests.
+	suspectFor = 30 * time.Second
 )
 
 // restHeap holds connections that rest, the one whose rest ends first on top. A connection's place
@@ -73,19 +72,30 @@
 	}
 }
 
-// restOf is how long a connection is to rest: shorter where connections are short.
+// restOf is how long a connection is to rest.
 func (p *pool) restOf(c *conn) time.Duration {
+	if p.answers.sure() && c.idle.Sub(c.peer.excess) >= suspectFor {
+		return leastRest
+	}
 	used := max(float64(p.open)/float64(max(1, p.limits.Total)), float64(c.peer.open)/float64(max(1, p.limits.PerServer)))
 	scarce := min(1, (used-scarceFrom)/(scarceFull-scarceFrom))
 	if scarce <= 0 {
-		return restFor
+		return longRest
 	}
 	p.count.ShortRest++
-	least := leastRest
-	if c.idle.Sub(p.excess) < warnedFor {
-		least = warnedRest
+	return longRest - time.Duration(scarce*float64(longRest-leastRest))
+}
+
+// restedSoon is how many connections to an upstream have rested within a moment: waiting for one
+// costs less than a handshake, which is work for the upstream and takes as long.
+func (to *peer) restedSoon(now time.Time) (soon int) {
+	by := now.Add(leastRest)
+	for n := to.resting.Front(); n != nil; n = n.Next() {
+		if !n.Value.rested.After(by) {
+			soon++
+		}
 	}
-	return restFor - time.Duration(scarce*float64(restFor-least))
+	return soon
 }
 
 // endRests takes the connections back into use that have rested.
@@ -122,8 +132,7 @@
 // excessLocked takes that something came on a connection that belongs to no request.
 func (p *pool) excessLocked(c *conn) {
 	p.count.Excess++
-	now := time.Now()
-	c.peer.excess, p.excess = now, now
+	c.peer.excess = time.Now()
 }
 
 // sawExcess is excessLocked for who has a connection in use.
