Calls for a lost list use the time left; drains and starts keep to the monotonic clock

A call for the list was repeated within the time after a silent watch, however the watch had ended, and after each failure anew: in a fleet of 300 whose watches all end at once, a third of the calls was turned away twice and the change came too late. The time now counts from the loss: 3 s more where the end was plain, and what is left of it after a call that was turned away; all of it is used by a large fleet. A drain's wait until sidecars are told and servers idle counted from the record's wall-clock time; it counts from when this process saw the mark, on its monotonic clock. A server's start is read on the clock that it was written by. Tests for the gate, rests, answers and late requests.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -18,6 +18,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"barleywick/internal/registry"
@@ -112,6 +113,9 @@
 	Now      func() time.Time                                 // the clock that all machines read
 	Sleep    func(ctx context.Context, d time.Duration) error // waits, or returns ctx's error
 	Say      func(format string, args ...any)                 // tells the operator
+
+	mu    sync.Mutex
+	marks map[string]seenMark // by machine: the marks that this process has seen
 }
 
 // Why a drain is refused. The error's text says what and what to do; nothing was changed.
@@ -488,9 +492,33 @@
 	return nil
 }
 
+// markedSince is since when a drain has been marked at the latest, as this process can tell by its
+// monotonic clock: since it saw the mark first. The record has the wall clock's time, and that may
+// be set ahead by an hour: sidecars would count as told, and servers as idle, that are not.
+func (w *Workflow) markedSince(own Drain) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if seen, ok := w.marks[own.Machine]; ok && seen.at == own.MarkedAt {
+		return seen.since
+	}
+	if w.marks == nil {
+		w.marks = make(map[string]seenMark)
+	}
+	now := w.Now()
+	w.marks[own.Machine] = seenMark{at: own.MarkedAt, since: now}
+	return now
+}
+
+// seenMark is a mark that this process has seen: what the record says, and when that was.
+type seenMark struct {
+	at    int64
+	since time.Time
+}
+
 // quiet says whether the sidecars know of the marks and the servers have no work.
 func (w *Workflow) quiet(ctx context.Context, own Drain) (bool, error) {
-	told, err := w.Fleet.Told(ctx, own.Seq, time.UnixMilli(own.MarkedAt))
+	since := w.markedSince(own)
+	told, err := w.Fleet.Told(ctx, own.Seq, since)
 	if err != nil || !told {
 		return false, err
 	}
@@ -506,7 +534,7 @@
 			_, err := w.mark(ctx, own)
 			return false, err
 		}
-		idle, err := w.Fleet.Idle(ctx, e, time.UnixMilli(own.MarkedAt))
+		idle, err := w.Fleet.Idle(ctx, e, since)
 		if err != nil || !idle {
 			return false, err
 		}
--- a/internal/drain/handover.go
+++ b/internal/drain/handover.go
@@ -9,12 +9,19 @@
 	"barleywick/internal/registry"
 )
 
+// as is the same workflow for another owner.
+func (w *Workflow) as(owner string) *Workflow {
+	return &Workflow{
+		Registry: w.Registry, Fleet: w.Fleet, Floor: w.Floor, Owner: owner,
+		Lease: w.Lease, Poll: w.Poll, Now: w.Now, Sleep: w.Sleep, Say: w.Say,
+	}
+}
+
 // HandOver claims a machine's drain for the keepers, which run it from then on, whether
 // this process lives or not. The floor is checked here and now; until is when they are
 // to undo it if it has not come to stopping by then.
 func (w *Workflow) HandOver(ctx context.Context, machine string, until time.Time) error {
-	theirs := *w
-	theirs.Owner = Keepers
+	theirs := w.as(Keepers)
 	_, err := theirs.update(ctx, machine, func(d drains, was Drain, is bool) (Drain, bool, error) {
 		if is && was.Owner == Keepers && was.Step != Done && was.Step != Undoing {
 			return was, true, nil // they have it already
--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -98,7 +99,25 @@
 	// Asks are the owner's calls, where it decides when to ask for the list; nil
 	// where the watch is to be opened again whenever it ends.
 	Asks   <-chan struct{}
-	Failed func() // then tells it that its call failed or the watch has ended
+	Failed func(Loss) // then tells it that its call failed or the watch has ended
+}
+
+// Loss is how a call failed or a watch ended.
+type Loss struct {
+	Silent  bool // nothing was heard for a while
+	Reached bool // discovery was there, and turned the call away or broke it off
+	Moved   bool // discovery has moved, and was not heard since
+}
+
+// errSilent ends a watch or a call on which nothing comes any more.
+var errSilent = errors.New("silent")
+
+// lossOf tells from its error how a call failed.
+func lossOf(err error, moved bool) Loss {
+	var network *net.OpError
+	refused := errors.As(err, &network) && network.Op == "dial"
+	silent := errors.Is(err, errSilent) || errors.Is(err, os.ErrDeadlineExceeded)
+	return Loss{Silent: silent, Reached: !refused && !silent, Moved: moved}
 }
 
 // Watcher follows the list.
@@ -161,12 +180,14 @@
 func (w *Watcher) Follow(ctx context.Context) {
 	defer w.client.CloseIdleConnections()
 	pause, down, atOnce, filled := firstReopen, false, false, false
+	moved := false // discovery has moved, and was not heard since
 	for ctx.Err() == nil {
 		if w.Asks != nil && !atOnce {
 			select {
 			case <-w.Asks:
 			case addrs := <-w.moves:
 				w.moved(addrs)
+				moved = true
 			case <-ctx.Done():
 				return
 			}
@@ -178,11 +199,11 @@
 		}
 		if atOnce = addrs != nil; atOnce {
 			w.moved(addrs)
-			pause, down = firstReopen, false
+			pause, down, moved = firstReopen, false, true
 			continue
 		}
 		if heard {
-			pause, down = firstReopen, false
+			pause, down, moved = firstReopen, false, false
 		}
 		// Each failure is told: when the next call may come depends on how this one failed.
 		if down = !heard && down; down {
@@ -203,7 +224,7 @@
 			case <-w.Asks: // a call meant for the watch that has ended
 			default:
 			}
-			w.Failed()
+			w.Failed(lossOf(err, moved))
 			continue
 		}
 		select {
@@ -281,7 +302,7 @@
 func (w *Watcher) watch(ctx context.Context, stale bool) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	patience := time.AfterFunc(silence, func() { cancel(errors.New("silent")) })
+	patience := time.AfterFunc(silence, func() { cancel(errSilent) })
 	defer patience.Stop()
 	defer func() {
 		if err != nil && context.Cause(ctx) != nil {
--- a/internal/registry/client/watch_test.go
+++ b/internal/registry/client/watch_test.go
@@ -139,7 +139,7 @@
 	old, fresh := registrytest.NewRegistry(t), registrytest.NewRegistry(t)
 	asks, failed, news := make(chan struct{}, 1), make(chan struct{}, 1), make(chan Listing, 10)
 	d := NewWatcher(Options{Addrs: []string{old.Addr}, Known: &Listing{Seq: 3, Whole: true}, Deliver: func(l Listing) { news <- l }})
-	d.Asks, d.Failed = asks, func() { failed <- struct{}{} }
+	d.Asks, d.Failed = asks, func(Loss) { failed <- struct{}{} }
 	go d.Follow(t.Context())
 	asks <- struct{}{}
 	await(t, "the old watch", old.Watches)
@@ -158,7 +158,7 @@
 	g := registrytest.NewRegistry(t)
 	asks, failed, news := make(chan struct{}, 1), make(chan struct{}, 1), make(chan Listing, 10)
 	d := NewWatcher(Options{Addrs: []string{g.Addr}, Known: &Listing{Seq: 3, Whole: true}, Deliver: func(l Listing) { news <- l }})
-	d.Asks, d.Failed = asks, func() { failed <- struct{}{} }
+	d.Asks, d.Failed = asks, func(Loss) { failed <- struct{}{} }
 	go d.Follow(t.Context())
 	asks <- struct{}{}
 	w := await(t, "the watch", g.Watches)
@@ -292,7 +292,7 @@
 	asks, failed, news := make(chan struct{}, 1), make(chan struct{}, 10), make(chan Listing, 10)
 	d := NewWatcher(Options{
 		Addrs: []string{g.Addr}, Known: &Listing{Seq: 41, Whole: true}, Deliver: func(l Listing) { news <- l },
-		Asks: asks, Failed: func() { failed <- struct{}{} },
+		Asks: asks, Failed: func(Loss) { failed <- struct{}{} },
 	})
 	go d.Follow(t.Context())
 	asks <- struct{}{}
--- /dev/null
+++ b/internal/sidecar/gate_test.go
@@ -0,0 +1,334 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"barleywick/internal/registry/client"
+	"barleywick/policy"
+)
+
+// sureOfAnswers lets a pool see as many different answers as it takes to tell them apart.
+func sureOfAnswers(p *pool) {
+	for i := range answersSure {
+		p.answers.note(p.answers.hash([]byte(fmt.Sprint("other ", i))), new(recentAnswers))
+	}
+}
+
+// A second answer that comes after the rest, in front of the next request's, is that request's to
+// nobody; where all servers answer alike, equality says nothing.
+func TestSecondAnswerIsNotTheNextRequests(t *testing.T) {
+	for name, alike := range map[string]bool{"answers differ": false, "answers are alike": true} {
+		t.Run(name, func(t *testing.T) {
+			last := ""
+			u := newUpstream(t, func(r received) (string, bool) {
+				first := last
+				if last = answer200("done " + r.Header.Get("Request-Id")); alike {
+					last = answer200("done")
+				}
+				if first == "" || alike {
+					return last, false
+				}
+				return first + last, false
+			})
+			p, to := testPool(1), &peer{addr: u.addr}
+			defer p.close()
+			if !alike {
+				sureOfAnswers(p)
+			}
+			for i := range answersSure + 4 {
+				r := &request{method: "POST", url: mustURL("/"), host: "x", name: fmt.Sprint(i), header: http.Header{"Request-Id": {fmt.Sprint(i)}}}
+				r.until = time.Now().Add(time.Hour)
+				a := newAttempt(t.Context(), r, r.until, time.Time{})
+				a.to = to
+				ending, got := newUpstreams(p).try(a)
+				want := fmt.Sprint("done ", i)
+				if alike {
+					want = "done"
+				}
+				if ending != policy.Served || string(got.body) != want {
+					t.Fatalf("request %d: ending %v, answer %+v", i, ending, got)
+				}
+				endRests(p)
+			}
+			if n, _ := p.counters(); (n.Repeated > 0) == alike {
+				t.Errorf("%d answers were passed over", n.Repeated)
+			}
+		})
+	}
+}
+
+// A server that has sent an excess gets long rests, and so does any until answers are told apart.
+func TestRestsAreLongWhereAnswersMayBeTakenForOthers(t *testing.T) {
+	p := testPool(100)
+	defer p.close()
+	c := &conn{peer: new(peer), idle: time.Now()}
+	if got := p.restOf(c); got != longRest {
+		t.Errorf("before answers are told apart: %v", got)
+	}
+	if sureOfAnswers(p); p.restOf(c) != leastRest {
+		t.Errorf("once they are: %v", p.restOf(c))
+	}
+	if p.sawExcess(c); p.restOf(c) != longRest {
+		t.Errorf("after an excess: %v", p.restOf(c))
+	}
+	if p.open = 100; p.restOf(c) != leastRest {
+		t.Errorf("with no connection to spare: %v", p.restOf(c))
+	}
+}
+
+// A write that is not done when its permission ends is cut off: what is not whole never runs. Attempts
+// that may not be cancelled are no exception.
+func TestLongWriteEndsWithItsPermission(t *testing.T) {
+	ln := listenLoopback(t)
+	accepted := make(chan net.Conn, 1)
+	go func() { // it reads nothing
+		if c, err := ln.Accept(); err == nil {
+			c.(*net.TCPConn).SetReadBuffer(4 << 10)
+			accepted <- c
+		}
+	}()
+	p, to := testPool(1), &peer{addr: ln.Addr().String()}
+	defer p.close()
+	c := connections(t, p, to, 1)[0]
+	defer await(t, "the connection", accepted).Close()
+	c.Conn.(*net.TCPConn).SetWriteBuffer(4 << 10)
+	p.put(c)
+	endRests(p)
+	r := &request{method: "POST", url: mustURL("/"), host: "x", name: "long", header: http.Header{}, body: make([]byte, 16<<20)}
+	r.until = time.Now().Add(time.Hour)
+	a := newAttempt(t.Context(), r, r.until, time.Time{})
+	a.to = to
+	ending := make(chan policy.Ending, 1)
+	go func() { e, _ := newUpstreams(p).try(a); ending <- e }()
+	time.Sleep(50 * time.Millisecond) // the buffers are full
+	a.drop()                          // the client has left; ctx lasts
+	if got := await(t, "its end", ending); got != policy.NotSent {
+		t.Errorf("ending %v, want not sent", got)
+	}
+}
+
+// The client's socket is looked at in the moment of the write: net/http may tell later.
+func TestNothingIsWrittenForAClientThatHasLeft(t *testing.T) {
+	u := newUpstream(t, always(answer200("ok")))
+	p, to := testPool(1), &peer{addr: u.addr}
+	defer p.close()
+	far, near := connected(t)
+	r := &request{method: "POST", url: mustURL("/"), host: "x", name: "left", header: http.Header{}, conn: near}
+	r.until = time.Now().Add(time.Hour)
+	ups := newUpstreams(p)
+	try := func() policy.Ending {
+		a := newAttempt(t.Context(), r, r.until, time.Time{})
+		a.to = to
+		ending, _ := ups.try(a)
+		return ending
+	}
+	if got := try(); got != policy.Served {
+		t.Errorf("while it is there: ending %v", got)
+	}
+	far.Close()
+	eventually(t, "the close has come", near.left)
+	if got := try(); got != policy.NotSent || len(u.requests) != 1 {
+		t.Errorf("ending %v with %d requests written, want not sent", got, len(u.requests))
+	}
+	if n := ups.gate.denied[actSend][policy.DeniedLeft].Load(); n != 1 {
+		t.Errorf("%d denials for a client that left, want 1", n)
+	}
+}
+
+// What was sent past its end, a late answer at the process's end and a close over a request are counted.
+func TestGateCountsViolations(t *testing.T) {
+	g, now := newGate(), time.Now()
+	fine := policy.Sending{Until: g.at(now.Add(time.Second)), StopBy: policy.NoLimit, RepeatBy: policy.NoLimit, Server: policy.Ready}
+	late := fine
+	late.Until = g.at(now)
+	g.sent(fine, now, "fine")
+	g.sent(late, now.Add(holdUp/2), "held up")
+	if c := g.counters(); len(c.Violated) != 0 {
+		t.Errorf("violations of what is in order: %v", c.Violated)
+	}
+	g.sent(late, now.Add(2*holdUp), "late")
+	g.answered(now, now.Add(2*holdUp), "late")
+	g.closed(policy.Closing{Read: true}, "unanswered")
+	if c := g.counters(); len(c.Violated) != int(violations) {
+		t.Errorf("counted %v, want each rule once", c.Violated)
+	}
+}
+
+// What comes late in a planned end is bound to its time, what came before has its client's.
+func TestLateRequestsAreBoundToTheProcessesEnd(t *testing.T) {
+	g := newGate()
+	if by := g.stopFor(time.Now().Add(time.Hour)); !by.IsZero() {
+		t.Errorf("bound to %v while it serves", by)
+	}
+	g.stop(2 * time.Second)
+	now := time.Now()
+	if by := g.stopFor(now); !by.IsZero() {
+		t.Error("a request that came with the signal has not its client's time")
+	}
+	by := g.stopFor(now.Add(stopLate))
+	if left := by.Sub(now); left <= 0 || left > 2*time.Second {
+		t.Errorf("a late one is bound to %v after the signal", left)
+	}
+	if g.mayStart(time.Second) != policy.Allowed || g.mayStart(3*time.Second) != policy.DeniedStopping {
+		t.Error("what takes longer than the process has may be started, or what does not may not")
+	}
+	r := &request{until: now.Add(time.Hour), stopBy: by}
+	if r.answerBy() != by || r.stopIn() <= 0 {
+		t.Errorf("answered by %v, in %v", r.answerBy(), r.stopIn())
+	}
+}
+
+// Half a request that gives way is refused before its connection ends, also where many do.
+func TestHalfARequestIsRefusedBeforeItsConnectionEnds(t *testing.T) {
+	for _, haste := range []bool{false, true} {
+		far, c := connected(t)
+		io.WriteString(far, "POST /api HTT")
+		if _, err := c.Read(make([]byte, 100)); err != nil {
+			t.Fatal(err)
+		}
+		state, owed := c.closeIdle(true)
+		if state != connClosed || !owed {
+			t.Fatalf("state %d, owed %v", state, owed)
+		}
+		go c.dismiss(haste)
+		resp, err := http.ReadResponse(bufio.NewReader(far), nil)
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+			t.Errorf("answered %+v, %v; want 503 and the end", resp, err)
+		}
+		far.Close()
+		c.Close() // net/http's, which waits for it
+	}
+}
+
+// A connection that net/http closes over what it has read has a refusal before that.
+func TestReadRequestIsAnsweredAsItsConnectionEnds(t *testing.T) {
+	for want, taken := range map[int]bool{http.StatusServiceUnavailable: false, http.StatusBadGateway: true} {
+		far, c := connected(t)
+		io.WriteString(far, "POST /api HTT")
+		if _, err := c.Read(make([]byte, 100)); err != nil {
+			t.Fatal(err)
+		}
+		if taken {
+			c.take()
+		}
+		go c.Close()
+		resp, err := http.ReadResponse(bufio.NewReader(far), nil)
+		if err != nil || resp.StatusCode != want {
+			t.Errorf("taken %v: answered %+v, %v; want %d", taken, resp, err, want)
+		}
+		far.Close()
+	}
+}
+
+// A request that lay in the kernel while its connection waited counts from then, one that was
+// waited for from when it came.
+func TestRequestCountsFromWhenItCame(t *testing.T) {
+	const late = 80 * time.Millisecond
+	far, c := connected(t)
+	io.WriteString(far, "G")
+	time.Sleep(late)
+	read := func() {
+		t.Helper()
+		if _, err := c.Read(make([]byte, 10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if read(); c.cameAt().Sub(c.accepted) >= late {
+		t.Errorf("it came %v after the connection, as if it had come when it was read", c.cameAt().Sub(c.accepted))
+	}
+	sent := make(chan time.Time, 1)
+	time.AfterFunc(late, func() {
+		sent <- time.Now()
+		io.WriteString(far, "E")
+	})
+	if read(); c.cameAt().Before(<-sent) {
+		t.Error("what was waited for counts from before it was sent")
+	}
+	c.take()
+	c.rest()
+	rested := time.Now()
+	io.WriteString(far, "T")
+	time.Sleep(late)
+	if read(); c.cameAt().Before(rested.Add(-late/2)) || c.cameAt().After(rested.Add(late/2)) {
+		t.Errorf("the next request counts from %v after the answer", c.cameAt().Sub(rested))
+	}
+}
+
+// A server is told less than its client has left.
+func TestDeadlineToldLeavesTimeForTheWrite(t *testing.T) {
+	for _, left := range []time.Duration{time.Second, 40 * time.Millisecond} {
+		ctx, cancel := context.WithTimeout(t.Context(), left)
+		r := &request{method: "GET", url: mustURL("/"), header: http.Header{}}
+		told, err := strconv.ParseFloat(r.outgoing(ctx).Header.Get("Request-Timeout"), 64)
+		cancel()
+		if most := left - min(toldMargin, left/4) + time.Millisecond; err != nil || told <= 0 || told > most.Seconds() {
+			t.Errorf("%v left: told %v s, %v", left, told, err)
+		}
+	}
+}
+
+// Want of something on this machine is no word against the server.
+func TestLocalFailuresAreNotTheServers(t *testing.T) {
+	for errno, local := range map[syscall.Errno]bool{
+		syscall.EMFILE: true, syscall.ENFILE: true, syscall.ENOBUFS: true, syscall.EADDRNOTAVAIL: true,
+		syscall.ECONNREFUSED: false, syscall.ETIMEDOUT: false, syscall.EHOSTUNREACH: false, syscall.ENETUNREACH: false,
+	} {
+		err := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)}
+		if isLocal(err) != local {
+			t.Errorf("%v: local %v, want %v", errno, !local, local)
+		}
+	}
+	if isLocal(errors.New("other")) {
+		t.Error("an unknown error is taken for one of this machine")
+	}
+}
+
+// The wall clock is set ahead under a running process: a server that starts then is cold.
+func TestStartAfterAStepOfTheWallClock(t *testing.T) {
+	l := newTestLoop(t)
+	const step = time.Hour
+	l.wallNow = func() time.Time { return time.Now().Add(step) }
+	l.now = l.clock()
+	born := float64(time.Now().Add(step - time.Second).UnixMilli())
+	s, ok := l.enter(client.Entry{Host: "s-1", Dial: "127.0.0.1:7", Site: "a", Health: "up", Share: 1, BornMS: born})
+	if age := l.now - s.Started; !ok || age < 500*time.Millisecond || age > 1500*time.Millisecond {
+		t.Errorf("a server that started 1 s ago is %v old", age)
+	}
+}
+
+// Connections that wait in the kernel's queue as the listener ends are served: the machine has
+// accepted them, and requests were written to them.
+func TestBacklogIsServedAsTheListenerEnds(t *testing.T) {
+	u := newUpstream(t, always(answer200("ok")))
+	_, limited, ending := parts(t, u, nil)
+	ending.begin()
+	var conns []net.Conn
+	for range 3 {
+		c, err := net.Dial("tcp", limited.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		io.WriteString(c, rawHead(fmt.Sprint("b", len(conns)))+"Content-Length: 0\r\n\r\n")
+		conns = append(conns, c)
+	}
+	limited.takeBacklog()
+	limited.stopAccepting()
+	for i, c := range conns {
+		c.SetDeadline(time.Now().Add(patience))
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode >= 500 && resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("connection %d: %+v, %v", i, resp, err)
+		}
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -79,7 +79,7 @@
 		load  policy.Load
 	}
 	listed     struct{ news client.Listing }
-	listFailed struct{}
+	listFailed struct{ loss client.Loss }
 	leaving    struct{ held chan<- []policy.Held } // a new process takes this one's place
 	beside     struct{ held []policy.Held }        // what the old one still holds
 )
@@ -170,10 +170,11 @@
 
 	report func() // logs what else there is to tell with the module's counters; may be nil
 
-	begin time.Time
-	now   time.Duration // the module's clock at the event under way
-	timer *time.Timer
-	dueAt time.Duration // when Wake is due; 0: not armed
+	begin   time.Time
+	wallNow func() time.Time // the machine's clock, which may be set
+	now     time.Duration    // the module's clock at the event under way
+	timer   *time.Timer
+	dueAt   time.Duration // when Wake is due; 0: not armed
 
 	lastID   policy.RequestID
 	requests map[policy.RequestID]*request
@@ -196,7 +197,7 @@
 	l := &loop{
 		life: life, end: end,
 		config: c, up: up, begin: time.Now(), trace: slog.Default().Enabled(life, slog.LevelDebug),
-		events: make(chan any, eventBacklog), asks: make(chan struct{}, 1), timer: time.NewTimer(time.Hour),
+		wallNow: time.Now, events: make(chan any, eventBacklog), asks: make(chan struct{}, 1), timer: time.NewTimer(time.Hour),
 		requests: make(map[policy.RequestID]*request), names: names{held: make(map[string]bool)},
 		hosts: make(map[string]*host), byID: make(map[policy.ServerID]*host), sites: make(map[string]int),
 	}
@@ -226,6 +227,12 @@
 	return time.Duration(l.begin.UnixNano()) + time.Since(l.begin)
 }
 
+// wallStep is by how much the wall clock has been set ahead since this process began.
+func (l *loop) wallStep() time.Duration {
+	wall := time.Duration(l.wallNow().UnixNano())
+	return wall - l.clock()
+}
+
 // post hands an event to the loop, and says whether the loop is there to take it.
 func (l *loop) post(e any) bool {
 	select {
@@ -332,7 +339,7 @@
 		}
 		l.list(kind, e.news)
 	case listFailed:
-		l.b.List(l.now, policy.ListFailed, nil)
+		l.b.Lost(l.now, policy.ListLoss{Silent: e.loss.Silent, Reached: e.loss.Reached, Moved: e.loss.Moved})
 	case leaving:
 		e.held <- l.b.Leave(l.stillComing())
 	case beside:
@@ -535,7 +542,7 @@
 	// A start ahead of this machine's clock would keep an upstream cold for too
 	// long; it is taken for now, and stays so while the entry names the same start.
 	if h.entry.BornMS != e.BornMS || h.started == 0 {
-		h.started = min(max(settings.Millis(e.BornMS), 0), l.now)
+		h.started = policy.StartedAt(settings.Millis(e.BornMS), l.now, l.wallStep())
 	}
 	h.entry = e
 	site, ok := l.sites[e.Site]
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -68,7 +68,7 @@
 		Deliver: func(news client.Listing) { l.post(listed{news}) },
 	}
 	if c.Policy.AskList {
-		discovery.Asks, discovery.Failed = l.asks, func() { l.post(listFailed{}) }
+		discovery.Asks, discovery.Failed = l.asks, func(loss client.Loss) { l.post(listFailed{loss}) }
 	}
 	d := client.NewWatcher(discovery)
 	limited := limitListener(ln, c.Connections.Clients)
--- a/policy/ask.go
+++ b/policy/ask.go
@@ -7,15 +7,48 @@
 
 // Asking for the server list. One service answers all balancers in turn, and calls that have waited too long
 // fail. Watches break for many at once; if all call again within the time that the service takes for all, each
-// call waits behind those that are to fail. So the pause after a failure grows with the number of balancers.
+// call waits behind those that are to fail. So the pause after a failure grows with the number of balancers, up
+// to what is left until a change that was missed meanwhile has to be acted on.
 
-// askEach is what the list service is given for each balancer's call: a list takes it up to 75 ms
-// when it is short of time, and the half of the balancers may have been cut off at once.
-const askEach = 40 * time.Millisecond
+const (
+	// askEach is what the list service is given for each balancer's call: a list takes it up to 75 ms
+	// when it is short of time, and the half of the balancers may have been cut off at once.
+	askEach = 40 * time.Millisecond
+	// toldWithin is when a change counts as told at the latest, whether or not it arrived.
+	toldWithin = 6 * time.Second
+	// toldMoved is the same from a new configuration on that moves the service.
+	toldMoved = 4 * time.Second
+	// callTakes is for a call that is answered, and a tick.
+	callTakes = 1100 * time.Millisecond
+	// silentFor is how long it takes to notice that a watch or a call is silent.
+	silentFor = 3 * time.Second
+	// lateAsk is the pause, before it is spread, once there is no time left at all.
+	lateAsk = time.Second
+	// askEarliest is the earliest call in parts of the time left, where all of that is used.
+	askEarliest = 0.25
+)
+
+// ListLoss is how the list was lost.
+type ListLoss struct {
+	Silent  bool // nothing was heard any more: changes may have been missed since silentFor
+	Reached bool // the service was there: what it had to tell counts as told in time
+	Moved   bool // the service has a new address, and was not heard there yet
+}
 
-// missed is what is left of the 6 s until what was missed counts as told: to notice that a watch or a call is
-// silent takes 3 s, the next call 1 and a tick 0.1.
-const missed = 1900 * time.Millisecond
+// Lost takes that a call for the list has failed, or that the subscription has ended.
+func (b *Balancer) Lost(now time.Duration, loss ListLoss) {
+	since := now
+	switch {
+	case loss.Silent:
+		since -= silentFor
+	case loss.Moved:
+		since -= toldWithin - toldMoved
+	}
+	if b.askFails == 0 || !loss.Reached {
+		b.lostAt = since
+	}
+	b.askAgain(now)
+}
 
 // ask subscribes to the list. Without any word it asks again before its silence counts as being told.
 func (b *Balancer) ask(now time.Duration) {
@@ -25,8 +58,12 @@
 
 // askAgain sets the next call after one that failed: spread, as one of many, and in time for what drains.
 func (b *Balancer) askAgain(now time.Duration) {
-	least := max(firstPause, askEach*time.Duration(b.cfg.Balancers))
-	pause := min(least<<min(b.askFails, 2), (missed+b.cfg.DrainGrace)*2/3) // half as much again is the longest
-	b.askAt = now + time.Duration(float64(pause)*(0.5+b.rng.Float64()))
+	pause := max(firstPause, askEach*time.Duration(b.cfg.Balancers)) << min(b.askFails, 2)
+	earliest, latest := pause/2, pause*3/2
+	if left := b.lostAt + toldWithin + b.cfg.DrainGrace - callTakes - now; latest > left {
+		latest = max(left, min(lateAsk, latest))
+		earliest = time.Duration(askEarliest * float64(latest))
+	}
+	b.askAt = now + earliest + time.Duration(b.rng.Float64()*float64(latest-earliest))
 	b.askFails++
 }
--- a/policy/coldstart.go
+++ b/policy/coldstart.go
@@ -68,3 +68,23 @@
 	left := float64(max(0, s.warmAt-now)) / float64(max(1, b.cfg.ColdTime))
 	return max(0.05, 1-left*(1-b.cfg.ColdFrom))
 }
+
+// clockStep is from how much on a difference between the wall clock and the monotonic one is a step.
+const clockStep = time.Second
+
+// StartedAt is when a server started, on this process's clock, by the Unix time that the list gives
+// for it; 0: long ago. This process's clock ran on evenly while the wall clock has gone ahead of it by
+// step since. Whether the list's time is from before or after the step cannot be told: the later reading
+// counts, as a server that is held to be cold for too long costs less than one that is pushed over.
+func StartedAt(listed, now, step time.Duration) time.Duration {
+	if listed <= 0 {
+		return 0
+	}
+	if step.Abs() < clockStep {
+		return min(listed, now)
+	}
+	if after := listed - step; listed > now || after > listed {
+		return max(0, min(after, now))
+	}
+	return listed
+}
--- /dev/null
+++ b/policy/permit_test.go
@@ -0,0 +1,160 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// Each fact alone denies, and the first that does is the reason given.
+func TestSendingIsDeniedByEachFact(t *testing.T) {
+	fine := Sending{Now: 10, Until: 20, StopBy: NoLimit, RepeatBy: NoLimit, Server: Ready, Most: 3}
+	if got := fine.Decide(); got != Allowed {
+		t.Fatalf("a send that nothing is against: %v", got)
+	}
+	for want, change := range map[Denial]func(*Sending){
+		DeniedAnswered: func(s *Sending) { s.Answered = true },
+		DeniedLeft:     func(s *Sending) { s.ClientLeft = true },
+		DeniedLate:     func(s *Sending) { s.Until = s.Now },
+		DeniedStopping: func(s *Sending) { s.StopBy = s.Now },
+		DeniedAttempts: func(s *Sending) { s.Attempts = s.Most },
+		DeniedEffect:   func(s *Sending) { s.MayHaveRun = true },
+		DeniedWindow:   func(s *Sending) { s.MayHaveRun, s.Repeatable, s.RepeatBy = true, true, s.Now },
+		DeniedServer:   func(s *Sending) { s.Server = Draining },
+		DeniedCold:     func(s *Sending) { s.Cold = true },
+	} {
+		s := fine
+		change(&s)
+		if got := s.Decide(); got != want {
+			t.Errorf("%v: got %v", want, got)
+		}
+		s.Answered = true
+		if got := s.Decide(); got != DeniedAnswered {
+			t.Errorf("%v, and answered: got %v", want, got)
+		}
+	}
+	out := fine
+	out.Out = 1
+	if got := out.Decide(); got != DeniedAttempts {
+		t.Errorf("one is out: got %v", got)
+	}
+	for d := range Denials {
+		if d.String() == "" || d.String() == "unknown" {
+			t.Errorf("denial %d has no name", int(d))
+		}
+	}
+}
+
+func TestClosingOwesWhatWasRead(t *testing.T) {
+	for want, all := range map[Denial][]Closing{
+		Allowed:    {{}, {Answered: true}, {Read: true, Answered: true}},
+		DeniedOwed: {{Read: true}, {Taken: true}, {Taken: true, Read: true, Answered: true}},
+	} {
+		for _, c := range all {
+			if got := c.Decide(); got != want {
+				t.Errorf("%+v: %v, want %v", c, got, want)
+			}
+		}
+	}
+}
+
+func TestStartingLeavesTimeToEnd(t *testing.T) {
+	for takes, want := range map[time.Duration]Denial{5: Allowed, 6: DeniedStopping} {
+		if got := (Starting{Now: 10, StopBy: 15, Takes: takes}).Decide(); got != want {
+			t.Errorf("takes %d of 5: %v, want %v", takes, got, want)
+		}
+	}
+	if got := (Starting{Now: 10, StopBy: NoLimit, Takes: time.Hour}).Decide(); got != Allowed {
+		t.Errorf("without an end: %v", got)
+	}
+}
+
+// A process is done before the platform kills it: the longest deadline and 0.7 s after the signal.
+func TestStopWithinTheKill(t *testing.T) {
+	for longest, kill := range map[time.Duration]time.Duration{
+		500 * ms: 1200 * ms, 1900 * ms: 2600 * ms, 3 * time.Second: 3700 * ms, 6 * time.Second: 3700 * ms, 0: 3700 * ms,
+	} {
+		got := StopWithin([]Class{{Deadline: longest}, {Deadline: longest / 2}})
+		if got <= 0 || got > kill-200*ms {
+			t.Errorf("longest deadline %v: done within %v, the kill comes after %v", longest, got, kill)
+		}
+	}
+}
+
+// A request that comes as the process ends is sent at once and answered in the process's time; one
+// that comes when that is over is refused.
+func TestRequestIsAnsweredBeforeTheProcessEnds(t *testing.T) {
+	h := newFakeHost()
+	b, err := New(testConfig(), 1, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(0)
+	b.List(0, ListFull, ready(1, 2, 3))
+	b.Request(0, Request{ID: 1, Left: time.Second, StopIn: 300 * ms})
+	if len(h.sends) != 1 || h.sends[0].timeout > 300*ms {
+		t.Fatalf("sends %+v, want one that is given up within 300 ms", h.sends)
+	}
+	for now := 10 * ms; now < 300*ms; now += 10 * ms {
+		if b.Wake(now); len(h.refused)+len(h.failed) > 0 {
+			t.Fatalf("answered at %v already", now)
+		}
+	}
+	if b.Wake(310 * ms); len(h.refused)+len(h.failed) != 1 {
+		t.Errorf("%d refused and %d failed when the process has to be done", len(h.refused), len(h.failed))
+	}
+}
+
+// The wall clock may be set by an hour while a process runs.
+func TestStartIsReadOnTheClockThatItWasWrittenBy(t *testing.T) {
+	const now = 100 * time.Hour
+	for name, x := range map[string]struct{ listed, step, want time.Duration }{
+		"long ago":                         {0, time.Hour, 0},
+		"no step":                          {now - time.Minute, 0, now - time.Minute},
+		"ahead of this clock":              {now + time.Minute, 0, now},
+		"set ahead, started after it":      {now + time.Hour - time.Second, time.Hour, now - time.Second},
+		"set ahead, started before it":     {now - time.Minute, time.Hour, now - time.Minute},
+		"set back, started after it":       {now - time.Hour - time.Second, -time.Hour, now - time.Second},
+		"set back, started a while before": {now - 2*time.Hour, -time.Hour, now - time.Hour},
+	} {
+		if got := StartedAt(x.listed, now, x.step); got != x.want {
+			t.Errorf("%s: %v before now, want %v", name, now-got, now-x.want)
+		}
+	}
+}
+
+// Where the list was lost in plain sight, many balancers use all of the time there is, and those
+// whose calls are turned away call again before it is over.
+func TestCallsOfALargeFleetUseTheTimeLeft(t *testing.T) {
+	const fleet, due = 300, toldWithin + 3*time.Second
+	calls := make([]int, due/time.Second+1)
+	for seed := range uint64(fleet) {
+		cfg := testConfig()
+		cfg.AskList, cfg.Balancers, cfg.DrainGrace = true, fleet, 3*time.Second
+		h := newFakeHost()
+		b, err := New(cfg, seed, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(0)
+		b.Lost(0, ListLoss{Reached: true})
+		last := time.Duration(0)
+		for now := 10 * ms; now < due; now += 10 * ms {
+			before := h.asks
+			if b.Wake(now); h.asks > before {
+				if last == 0 {
+					calls[now/time.Second]++
+				}
+				last = now
+				b.Lost(now, ListLoss{Reached: true})
+			}
+		}
+		if last < due-3*time.Second {
+			t.Fatalf("seed %d: the last call comes %v after the loss, %v are left", seed, last, due-last)
+		}
+	}
+	for second, n := range calls {
+		if n > fleet/5 {
+			t.Errorf("%d of %d balancers call first in second %d", n, fleet, second)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -110,6 +110,7 @@
 	wakeAt      time.Duration
 	askAt       time.Duration // when to ask for the list next; 0: no need
 	askFails    int
+	lostAt      time.Duration // since when changes of the list may have been missed
 	feedFrom    int
 	shared      bool // another process of this sidecar lives
 	thin        bool // own traffic tells too little of a server's load
