--- a/cmd/barleylab/torture.go
+++ b/cmd/barleylab/torture.go
@@ -57,17 +57,12 @@
 		if o.Schedule, err = faultnet.ParseSchedule(schedule); err != nil {
 			return cli.WrongCall("--schedule: %v", err)
 		}
-		if programs == "" {
-			self, err := os.Executable()
-			if err != nil {
-				return fmt.Errorf("find the programs: %w", err)
-			}
-			programs = filepath.Dir(self)
-		}
 		for _, p := range []torture.Program{torture.Replica, torture.Keeper, torture.Sidecar} {
-			if _, err := os.Stat(filepath.Join(programs, string(p))); err != nil {
-				return fmt.Errorf("--programs: %w", err)
+			path, err := findProgram(programs, string(p))
+			if err != nil {
+				return err
 			}
+			programs = filepath.Dir(path)
 		}
 		o.Command = func(p torture.Program, config string) *exec.Cmd { return command(programs, p, config) }
 		if !quiet {
--- /dev/null
+++ b/internal/load/closed.go
@@ -0,0 +1,22 @@
+package load
+
+import (
+	"net"
+
+	"golang.org/x/sys/unix"
+)
+
+// Closed says, without reading, whether the other side of a connection has closed it by now.
+func Closed(conn *net.TCPConn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	over := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		over = n == 0 && err == nil || err != nil && err != unix.EAGAIN
+	})
+	return over || err != nil
+}
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -25,6 +25,8 @@
 	waitIn = 500 * time.Millisecond
 	// acceptAgainIn is the pause after a failed accept, as when the machine is out of descriptors.
 	acceptAgainIn = 5 * time.Millisecond
+	// acceptLogEvery bounds what is logged of them.
+	acceptLogEvery = time.Second
 )
 
 // clientCounters count what became of client connections, each decision apart.
@@ -170,6 +172,7 @@
 
 // accept takes connections off the kernel's queue until the listener is closed.
 func (l *limitedListener) accept() {
+	var told time.Time // when a failure was logged last
 	for {
 		nc, err := l.inner.Accept()
 		if err != nil {
@@ -179,7 +182,10 @@
 			if !accepts || errors.Is(err, net.ErrClosed) {
 				return
 			}
-			slog.Warn("accept", "err", err) // out of descriptors, or a client that left at once
+			if time.Since(told) >= acceptLogEvery {
+				slog.Warn("accept", "err", err) // out of descriptors, or a client that left at once
+				told = time.Now()
+			}
 			time.Sleep(acceptAgainIn)
 			continue
 		}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"barleywick/internal/load"
 )
 
 // manner is how a client hands one request in.
@@ -128,19 +130,7 @@
 }
 
 // ended says whether the sidecar has closed the connection by now.
-func (c *client) ended() bool {
-	raw, err := c.conn.SyscallConn()
-	if err != nil {
-		return true
-	}
-	over := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		over = n == 0 && err == nil || err != nil && err != unix.EAGAIN
-	})
-	return over || err != nil
-}
+func (c *client) ended() bool { return load.Closed(c.conn) }
 
 // once hands one request in and follows it to its end.
 func (c *client) once() {
--- a/internal/systemtest/shutdown_test.go
+++ b/internal/systemtest/shutdown_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	raw "barleywick/internal/load"
 	"barleywick/internal/registry/registrytest"
 )
 
@@ -95,7 +96,7 @@
 }
 
 // run writes the request and waits for its answer.
-func (w slowWriter) run(conn net.Conn, began time.Time) (f fate) {
+func (w slowWriter) run(conn *net.TCPConn, began time.Time) (f fate) {
 	defer conn.Close()
 	method, key := methods[w.class], ""
 	if w.class == "keyed" {
@@ -104,14 +105,14 @@
 	text := fmt.Sprintf("%s /api HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: %s\r\nRequest-Class: %s\r\nRequest-Timeout: %s\r\n%sContent-Length: 0\r\n\r\n",
 		method, w.id, w.class, strconv.FormatFloat(w.timeout.Seconds(), 'f', 3, 64), key)
 	time.Sleep(time.Until(began.Add(w.begins)))
-	if ended(conn) {
+	if raw.Closed(conn) {
 		return fate{err: errors.New("closed before the request")}
 	}
 	if _, err := io.WriteString(conn, text[:20]); err != nil {
 		return fate{err: err}
 	}
 	time.Sleep(time.Until(began.Add(w.ends)))
-	if w.ends > w.begins && ended(conn) {
+	if w.ends > w.begins && raw.Closed(conn) {
 		return fate{err: errors.New("closed in the middle of the request")}
 	}
 	if _, err := io.WriteString(conn, text[20:]); err != nil {
@@ -130,21 +131,6 @@
 	return f
 }
 
-// ended says whether the other side has closed a connection by now.
-func ended(conn net.Conn) bool {
-	raw, err := conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	over := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		over = n == 0 && err == nil || err != nil && err != syscall.EAGAIN
-	})
-	return over || err != nil
-}
-
 // SIGKILL follows SIGTERM after the longest deadline and 0.7 s. A request that becomes whole on
 // an open connection at any moment before that has its final answer by then, also where booking
 // servers hang: on connections that were silent at SIGTERM, and on those whose client writes slowly.
@@ -171,12 +157,13 @@
 				}
 				all = append(all, w)
 			}
-			conns := make([]net.Conn, clients)
+			conns := make([]*net.TCPConn, clients)
 			for i := range conns {
-				var err error
-				if conns[i], err = net.Dial("tcp", s.addr); err != nil {
+				conn, err := net.Dial("tcp", s.addr)
+				if err != nil {
 					t.Fatal(err)
 				}
+				conns[i] = conn.(*net.TCPConn)
 			}
 			began := time.Now()
 			s.signal(syscall.SIGTERM)
