--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -95,6 +95,9 @@
 	Deliver func(Listing) // takes the news, in order
 	Seed    uint64        // spreads watchers over replicas and in time
 	Grace   time.Duration // in which the owner has to act on a change; 0: not known
+	// Stagger is how long after a call for the whole list the watch is opened at the latest: where many
+	// watchers call at once, those that have no list yet go first.
+	Stagger time.Duration
 
 	// Asks are the owner's calls, where it decides when to ask for the list; nil
 	// where the watch is to be opened again whenever it ends.
@@ -314,6 +317,10 @@
 			return false, err
 		}
 		heard = true
+		patience.Stop()
+		if err := w.stagger(ctx); err != nil {
+			return heard, err
+		}
 		patience.Reset(silence) // the watch has its own time, however long the call took
 	}
 	body, err := w.open(ctx, w.url()+"?watch=1&from="+strconv.FormatUint(w.seq, 10), stale)
@@ -347,6 +354,19 @@
 	}
 }
 
+// stagger waits for a part of the time that the watch may come later than the list.
+func (w *Watcher) stagger(ctx context.Context) error {
+	if w.Stagger <= 0 {
+		return nil
+	}
+	select {
+	case <-time.After(time.Duration(w.rng.Float64() * float64(w.Stagger))):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // pulse reads a watch. A listing may stand on one line or on several and come in pieces;
 // between listings empty lines come. Both are signs of life, but an empty line in a listing
 // that does not go on is none: a watch that ends in the middle would never be opened again.
--- a/internal/registry/client/watch_test.go
+++ b/internal/registry/client/watch_test.go
@@ -323,3 +323,19 @@
 		}
 	}
 }
+
+// Where many ask at once the watch comes some time after the whole list, and a move ends the wait.
+func TestWatchIsStaggeredBehindTheWholeList(t *testing.T) {
+	old, fresh := registrytest.NewRegistry(t), registrytest.NewRegistry(t)
+	news := make(chan Listing, 10)
+	d := NewWatcher(Options{Addrs: []string{old.Addr}, Stagger: time.Hour, Deliver: func(l Listing) { news <- l }})
+	go d.Follow(t.Context())
+	await(t, "the call", old.Asked)
+	old.Whole <- registrytest.ListText(7, true)
+	await(t, "the list", news)
+	d.Move([]string{fresh.Addr})
+	await(t, "the call at the new address", fresh.Asked)
+	if len(old.Watches) > 0 {
+		t.Error("the watch was opened at once")
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -68,6 +68,7 @@
 		Deliver: func(news client.Listing) { l.post(listed{news}) },
 	}
 	if c.Policy.AskList {
+		discovery.Stagger = policy.Stagger(c.Policy.Balancers)
 		discovery.Asks, discovery.Failed = l.asks, func(loss client.Loss) { l.post(listFailed{loss}) }
 	}
 	d := client.NewWatcher(discovery)
--- a/policy/ask.go
+++ b/policy/ask.go
@@ -76,3 +76,12 @@
 	b.askAt = now + earliest + time.Duration(b.rng.Float64()*float64(latest-earliest))
 	b.askFails++
 }
+
+// A fleet whose calls the list service can answer within staggerFrom needs no order among them; no watch
+// is opened later than staggerMost after the whole list came.
+const staggerFrom, staggerMost = time.Second, 4 * time.Second
+
+// Stagger is how long after the whole list its subscription may be made, where many balancers ask at once.
+func Stagger(balancers int) time.Duration {
+	return max(0, min(askEach*time.Duration(balancers)-staggerFrom, staggerMost))
+}
--- a/policy/permit_test.go
+++ b/policy/permit_test.go
@@ -156,3 +156,12 @@
 		}
 	}
 }
+
+// Few balancers subscribe at once, many one after the other and all in time.
+func TestSubscriptionsOfALargeFleetAreStaggered(t *testing.T) {
+	for balancers, want := range map[int]time.Duration{5: 0, 25: 0, 80: 2200 * ms, 300: staggerMost, 900: staggerMost} {
+		if got := Stagger(balancers); got != want {
+			t.Errorf("%d balancers: %v, want %v", balancers, got, want)
+		}
+	}
+}
