--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -88,6 +88,8 @@
 	descDecided = desc("decisions_total", "What the decision module did, by its counters' names.", "what")
 	descConns   = desc("connections", "Connections, by side and state.", "side", "state")
 	descEvents  = desc("connection_events_total", "What was counted of connections, by side and by its counters' names.", "side", "what")
+	descGate    = desc("gate_decisions_total", "What the gate decided, by act and reason.", "decision")
+	descBroken  = desc("gate_violations_total", "Rules that were broken although the gate was asked.", "rule")
 	descEpoch   = desc("policy_epoch", "Epoch of the fleet's policy that is acted by.")
 	descJoint   = desc("policy_joint", "The change with which the policy in force is acted by jointly; 0: none.")
 	descTakes   = desc("policy_open", "1 while new requests are taken, 0 while the policy forbids it.")
@@ -100,7 +102,7 @@
 
 // Describe names the figures.
 func (s *standing) Describe(c chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descOpen, descSlots, descQueue, descServers, descAge, descDecided, descConns, descEvents, descEpoch, descJoint, descTakes, descJam, descHeard, descToken, descPart, descState} {
+	for _, d := range []*prometheus.Desc{descOpen, descSlots, descQueue, descServers, descAge, descDecided, descConns, descEvents, descGate, descBroken, descEpoch, descJoint, descTakes, descJam, descHeard, descToken, descPart, descState} {
 		c <- d
 	}
 }
@@ -167,6 +169,12 @@
 			count(descEvents, n, side, name)
 		}
 	}
+	for decision, n := range state.Gate.Decided {
+		count(descGate, float64(n), decision)
+	}
+	for rule, n := range state.Gate.Violated {
+		count(descBroken, float64(n), rule)
+	}
 	for what, n := range state.Decisions() {
 		count(descDecided, n, what)
 	}
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -274,6 +275,7 @@
 			text = failedAnswer // it may have run
 		}
 		err := c.answer(text)
+		slog.Debug("answered as its connection ends", "client", c.RemoteAddr(), "taken", taken, "err", err)
 		closing.Answered = err == nil || c.left() // nobody is owed anything who has gone
 	}
 	if c.gate != nil {
@@ -330,6 +332,7 @@
 // haste, without waiting for what is still on its way.
 func (c *clientConn) dismiss(haste bool) {
 	defer close(c.told)
+	slog.Debug("half a request refused", "client", c.RemoteAddr(), "after", time.Since(c.accepted))
 	if c.answer(refusedAnswer) == nil && !haste {
 		c.linger()
 	} else {
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -70,6 +70,7 @@
 		return
 	}
 	d.gate.stop(d.within)
+	slog.Info("told to end", "answers by", d.within)
 	time.AfterFunc(d.within, d.listener.closeRest)
 	if d.phase() != serving {
 		return // a new process has its place already
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -135,14 +135,14 @@
 	slog.Error("rule violated", "rule", v, "of", name, "why", why)
 }
 
-// gateCounters are what the gate has decided so far; only what is not zero has an entry.
-type gateCounters struct {
+// GateCounters are what the gate has decided so far; only what is not zero has an entry.
+type GateCounters struct {
 	Decided  map[string]uint64 // by act and denial
 	Violated map[string]uint64 // by rule
 }
 
-func (g *gate) counters() gateCounters {
-	c := gateCounters{Decided: make(map[string]uint64), Violated: make(map[string]uint64)}
+func (g *gate) counters() GateCounters {
+	c := GateCounters{Decided: make(map[string]uint64), Violated: make(map[string]uint64)}
 	for a := range acts {
 		for d := range policy.Denials {
 			if n := g.denied[a][d].Load(); n > 0 {
--- a/internal/sidecar/meter.go
+++ b/internal/sidecar/meter.go
@@ -34,6 +34,7 @@
 	Upstreams    map[string]float64
 	ClientEvents map[string]float64 // what was counted of connections so far
 	PoolEvents   map[string]float64
+	Gate         GateCounters // what may be done now, and what was done past it
 	Policy       *PolicyState // nil where the configuration names none
 	Jam          float64      // what answers took of their aims lately
 	Word         *WordState   // the fleet's on an overload; nil where the configuration names none
@@ -72,7 +73,7 @@
 
 // stand is the loop's part of the state.
 func (l *loop) stand() State {
-	s := State{Open: len(l.requests), Jam: l.b.Jam(l.now), Decided: l.b.Counters(), Servers: make(map[string]map[string]int)}
+	s := State{Open: len(l.requests), Gate: l.up.gate.counters(), Jam: l.b.Jam(l.now), Decided: l.b.Counters(), Servers: make(map[string]map[string]int)}
 	if l.heardAt > 0 {
 		s.ListAge = l.now - l.heardAt
 	}
--- a/internal/sidecar/meter_test.go
+++ b/internal/sidecar/meter_test.go
@@ -58,6 +58,9 @@
 	for _, zone := range s.Servers {
 		listed += zone["up"]
 	}
+	if s.Gate.Decided["send: allowed"] != 3 || len(s.Gate.Violated) > 0 {
+		t.Errorf("the gate's counters: %+v", s.Gate)
+	}
 	if s.Open != 0 || len(s.Compartments) == 0 || s.Compartments[0].SlotsFree == 0 || listed != 1 || s.Decisions()["Ordinary"] != 3 || s.ClientEvents["Accepted"] == 0 || s.PoolEvents["Opened"] == 0 {
 		t.Errorf("%+v", s)
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"maps"
 	"net/http"
 	"net/url"
@@ -213,6 +214,7 @@
 	sending := may.sending(u.gate, server)
 	begun = time.Now()
 	if why := u.gate.maySend(sending, begun); why != policy.Allowed {
+		slog.Debug("attempt not sent", "request", may.name, "upstream", c.peer.addr, "why", why)
 		return begun, denied(why, server)
 	}
 	long := len(text) > promptWrite
