--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -110,6 +110,8 @@
 	Silent  bool // nothing was heard for a while
 	Reached bool // discovery was there, and turned the call away or broke it off
 	Moved   bool // discovery has moved, and was not heard since
+	// Quiet is how long ago the last word came, a list or a sign of life.
+	Quiet time.Duration
 }
 
 // errSilent ends a watch or a call on which nothing comes any more.
@@ -128,9 +130,10 @@
 	Options
 	client *http.Client
 	rng    *rand.Rand
-	at     int    // the address in use
-	held   bool   // a list is held: changes may build on it
-	seq    uint64 // its version
+	at     int       // the address in use
+	heard  time.Time // the last word: a list, or a sign of life
+	held   bool      // a list is held: changes may build on it
+	seq    uint64    // its version
 
 	moves chan []string // the addresses to go on with; holds the latest alone
 }
@@ -141,6 +144,7 @@
 		Options: o,
 		rng:     rand.New(rand.NewPCG(o.Seed, 2)),
 		moves:   make(chan []string, 1),
+		heard:   time.Now(),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:           (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext,
 			ResponseHeaderTimeout: silence,
@@ -227,7 +231,9 @@
 			case <-w.Asks: // a call meant for the watch that has ended
 			default:
 			}
-			w.Failed(lossOf(err, moved))
+			loss := lossOf(err, moved)
+			loss.Quiet = time.Since(w.heard)
+			w.Failed(loss)
 			continue
 		}
 		select {
@@ -330,6 +336,7 @@
 	defer body.Close()
 	in := &pulse{from: body, left: maxListing, beat: func(idle bool) {
 		patience.Reset(silence)
+		w.heard = time.Now()
 		if idle && !heard {
 			heard = true
 			w.Deliver(Listing{Seq: w.seq}) // the watch is up and nothing has changed: the owner's call went well
@@ -462,7 +469,7 @@
 	case l.Seq == w.seq:
 		l.Hosts = nil
 	}
-	w.held, w.seq = true, l.Seq
+	w.held, w.seq, w.heard = true, l.Seq, time.Now()
 	slog.Info("discovery: list", "seq", l.Seq, "whole", l.Whole, "hosts", len(l.Hosts))
 	w.Deliver(l)
 	return nil
--- a/policy/ask.go
+++ b/policy/ask.go
@@ -33,9 +33,10 @@
 
 // ListLoss is how the list was lost.
 type ListLoss struct {
-	Silent  bool // nothing was heard any more: changes may have been missed since silentFor
-	Reached bool // the service was there: what it had to tell counts as told in time
-	Moved   bool // the service has a new address, and was not heard there yet
+	Silent  bool          // nothing was heard any more: changes may have been missed since silentFor
+	Reached bool          // the service was there: what it had to tell counts as told in time
+	Moved   bool          // the service has a new address, and was not heard there yet
+	Quiet   time.Duration // since the last word, a list or a sign of life
 }
 
 // Lost takes that a call for the list has failed, or that the subscription has ended.
@@ -46,6 +47,8 @@
 		since -= silentFor
 	case loss.Moved:
 		since -= toldWithin - toldMoved
+	case loss.Reached:
+		since -= min(loss.Quiet, staggerMost+callTakes)
 	}
 	latest := NoLimit
 	if b.askFails == 0 && !loss.Silent {
