The watch comes half to all of its stagger after the list

So that the second call of a fleet that was moved does not compete with the first calls of its last third.

--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -361,13 +361,13 @@
 	}
 }
 
-// stagger waits for a part of the time that the watch may come later than the list.
+// stagger waits for half to all of the time that the watch may come later than the list.
 func (w *Watcher) stagger(ctx context.Context) error {
 	if w.Stagger <= 0 {
 		return nil
 	}
 	select {
-	case <-time.After(time.Duration(w.rng.Float64() * float64(w.Stagger))):
+	case <-time.After(time.Duration((1 + w.rng.Float64()) / 2 * float64(w.Stagger))):
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
