--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -70,7 +70,7 @@
 		return
 	}
 	d.gate.stop(d.within)
-	slog.Info("told to end", "answers by", d.within)
+	slog.Info("told to end", "answered_within", d.within)
 	time.AfterFunc(d.within, d.listener.closeRest)
 	if d.phase() != serving {
 		return // a new process has its place already
