--- a/internal/sidecar/gate_test.go
+++ b/internal/sidecar/gate_test.go
@@ -91,17 +91,20 @@
 // that may not be cancelled are no exception.
 func TestLongWriteEndsWithItsPermission(t *testing.T) {
 	ln := listenLoopback(t)
-	accepted := make(chan net.Conn, 1)
-	go func() { // it reads nothing
-		if c, err := ln.Accept(); err == nil {
-			c.(*net.TCPConn).SetReadBuffer(4 << 10)
-			accepted <- c
+	begun := make(chan net.Conn, 1)
+	go func() { // it reads the first byte, and nothing more
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		if _, err := io.ReadFull(c, make([]byte, 1)); err == nil {
+			begun <- c
 		}
 	}()
 	p, to := testPool(1), &peer{addr: ln.Addr().String()}
 	defer p.close()
 	c := connections(t, p, to, 1)[0]
-	defer await(t, "the connection", accepted).Close()
 	c.Conn.(*net.TCPConn).SetWriteBuffer(4 << 10)
 	p.put(c)
 	endRests(p)
@@ -111,8 +114,8 @@
 	a.to = to
 	ending := make(chan policy.Ending, 1)
 	go func() { e, _ := newUpstreams(p).try(a); ending <- e }()
-	time.Sleep(50 * time.Millisecond) // the buffers are full
-	a.drop()                          // the client has left; ctx lasts
+	defer await(t, "the first byte", begun).Close()
+	a.drop() // the client has left in the middle of the write; ctx lasts
 	if got := await(t, "its end", ending); got != policy.NotSent {
 		t.Errorf("ending %v, want not sent", got)
 	}
