Read again: one gate has the cold fact too, and what only tests used is theirs

mayGo asked for a cold server's budget beside the permit, so DeniedCold was never given; it is a fact of Sending now, with the same outcome. The gate's field counts all decisions and is named so; a copy of equal fields is a conversion; a connection's fields stand beside their comments.

--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -228,13 +228,6 @@
 	return c.gate.mayClose(closing) == policy.Allowed
 }
 
-// isBusy says whether a request of it has been taken and not been answered.
-func (c *clientConn) isBusy() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.state == connBusy && !c.answered.Load()
-}
-
 // rest takes that the request which was taken is answered.
 func (c *clientConn) rest() {
 	c.mu.Lock()
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -15,7 +15,7 @@
 const (
 	actSend  act = iota // an attempt's first byte
 	actClose            // the end of a client's connection
-	actStart            // a probe, a handshake, a take-over
+	actStart            // a probe
 	acts                // how many there are
 )
 
@@ -42,13 +42,13 @@
 const holdUp = 150 * time.Millisecond
 
 // gate is asked in the moment before something is sent, closed or started. The decision is
-// policy's; the gate adds the time and the facts of the moment, counts what was denied, and checks
+// policy's; the gate adds the time and the facts of the moment, counts what was decided, and checks
 // after the act that it was in order. It is safe for concurrent use.
 type gate struct {
 	begin      time.Time
 	stopBy     atomic.Int64 // since begin; policy.NoLimit while the process serves on
 	lateFrom   atomic.Int64 // since begin: what comes from then on is bound to stopBy
-	denied     [acts][policy.Denials]atomic.Uint64
+	decided    [acts][policy.Denials]atomic.Uint64
 	violations [violations]atomic.Uint64
 }
 
@@ -125,7 +125,7 @@
 }
 
 func (g *gate) count(a act, d policy.Denial) policy.Denial {
-	g.denied[a][d].Add(1)
+	g.decided[a][d].Add(1)
 	return d
 }
 
@@ -145,7 +145,7 @@
 	c := GateCounters{Decided: make(map[string]uint64), Violated: make(map[string]uint64)}
 	for a := range acts {
 		for d := range policy.Denials {
-			if n := g.denied[a][d].Load(); n > 0 {
+			if n := g.decided[a][d].Load(); n > 0 {
 				c.Decided[fmt.Sprintf("%v: %v", a, d)] = n
 			}
 		}
--- a/internal/sidecar/gate_test.go
+++ b/internal/sidecar/gate_test.go
@@ -175,7 +175,7 @@
 	if got := try(); got != policy.NotSent || len(u.requests) != 1 {
 		t.Errorf("ending %v with %d requests written, want not sent", got, len(u.requests))
 	}
-	if n := ups.gate.denied[actSend][policy.DeniedLeft].Load(); n != 1 {
+	if n := ups.gate.decided[actSend][policy.DeniedLeft].Load(); n != 1 {
 		t.Errorf("%d denials for a client that left, want 1", n)
 	}
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -339,7 +339,7 @@
 		}
 		l.list(kind, e.news)
 	case listFailed:
-		l.b.Lost(l.now, policy.ListLoss{Silent: e.loss.Silent, Reached: e.loss.Reached, Moved: e.loss.Moved, Quiet: e.loss.Quiet})
+		l.b.Lost(l.now, policy.ListLoss(e.loss))
 	case leaving:
 		e.held <- l.b.Leave(l.stillComing())
 	case beside:
--- a/internal/sidecar/peer.go
+++ b/internal/sidecar/peer.go
@@ -43,10 +43,10 @@
 	net.Conn
 	peer    *peer
 	idle    time.Time     // since when it has been idle
+	keep    time.Duration // and how long it may be
 	rested  time.Time     // when it may carry the next request
 	place   int           // in the heap of those that rest; 0: it is not there
 	last    recentAnswers // of this connection
-	keep    time.Duration // and how long it may be
 	inPeer  queue.Node[*conn]
 	inAll   queue.Node[*conn]
 	buffers *buffers // while it carries a request
--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -298,3 +298,10 @@
 func testDrain(l *limitedListener) *drain {
 	return newDrain(l, newGate(), time.Hour)
 }
+
+// isBusy says whether a request of a connection has been taken and not been answered.
+func isBusy(c *clientConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == connBusy && !c.answered.Load()
+}
--- a/internal/sidecar/races_test.go
+++ b/internal/sidecar/races_test.go
@@ -249,7 +249,7 @@
 			t.Fatal("it left before it did")
 		}
 		leave(far)
-		if eventually(t, "the close has come", c.left); serve(c) || c.isBusy() || len(u.requests) > 0 {
+		if eventually(t, "the close has come", c.left); serve(c) || isBusy(c) || len(u.requests) > 0 {
 			t.Errorf("%s: the request was taken or closed over, %d went upstream", name, len(u.requests))
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -298,12 +298,12 @@
 	sending := Sending{
 		Now: now, Until: r.deadline, StopBy: r.stopBy, RepeatBy: NoLimit,
 		Answered: r.over || r.begun, Server: s.State, MayHaveRun: r.ran() != nil,
-		Attempts: len(r.attempts), Most: b.cfg.MaxAttempts, Out: r.out,
+		Attempts: len(r.attempts), Most: b.cfg.MaxAttempts, Out: r.out, Cold: !b.mayWarm(now, r, s),
 	}
 	if sending.MayHaveRun {
 		sending.Repeatable = r.mayRepeat(now, s)
 	}
-	return sending.Decide() == Allowed && b.mayWarm(now, r, s)
+	return sending.Decide() == Allowed
 }
 
 // send is the one place that sends.
