--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -480,11 +480,7 @@
 		case now.Sub(c.idle) >= c.keep:
 			p.count.Expired++
 			p.closeLocked(c)
-		case !quiet(c.Conn):
-			p.count.Stale++
-			if look(c.Conn) == socketExcess {
-				p.excessLocked(c)
-			}
+		case p.isStaleLocked(c):
 			p.closeLocked(c)
 		case now.Sub(c.idle) >= 2*needFor && c.peer.open-c.peer.dialing > c.peer.needed(now):
 			p.count.Unneeded++
@@ -494,6 +490,18 @@
 	p.unblockLocked()
 }
 
+// isStaleLocked looks at an idle connection once, counts one that is of no use any more, and notes an excess.
+func (p *pool) isStaleLocked(c *conn) bool {
+	switch look(c.Conn) {
+	case socketQuiet:
+		return false
+	case socketExcess:
+		p.excessLocked(c)
+	}
+	p.count.Stale++
+	return true
+}
+
 // poolState is what is open at a moment.
 type poolState struct{ Open, Idle, Resting, Handshakes, Waiting int }
 
