Registry: reads are called current on evidence, not on contact with a leader

Symptom: a replica with a full disk, one cut off in one direction, behind a late link or just continued after a pause answered Registry-Read: current; age_ms=4 without writes that had been acknowledged seconds before, and its watches went on without them.

Cause: freshness.go took Raft's last contact as the age. Heartbeats are contact and carry no entries; a leader called its reads current by its own belief that it leads.

Now each replica, the leader too, asks the leader for its commit index (GET commit, after leadership verification, not counted by the call limiter) four times in an election timeout, and waits until the log is applied up to there. The age counts from before it asked and is rounded up. The first evidence makes the replica ready, which was a loop of its own before.

--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -16,10 +16,10 @@
 	APIPath = "/registry/v1/"
 	// ReadHeader is the header that says how fresh a response is: one of the values below.
 	ReadHeader = "Registry-Read"
-	// ReadStale means that the replica has no contact with a leader.
+	// ReadStale means that the replica cannot say what the response lacks: it may have any age.
 	ReadStale = "stale"
-	// ReadCurrent means that the replica has heard of a leader lately: the response may be a
-	// moment behind.
+	// ReadCurrent means that all that was acknowledged before the age that follows it is in
+	// the response: the replica has asked the leader.
 	ReadCurrent = "current"
 	// ReadLinearizable means that the leader has verified its leadership for this response.
 	ReadLinearizable = "linearizable"
@@ -147,6 +147,11 @@
 	Marks         map[string]string `json:"marks"`
 }
 
+// CommitResponse is the answer to GET commit, a call between replicas.
+type CommitResponse struct {
+	CommitIndex uint64 `json:"commit_index"` // of the log; all that was acknowledged before the call is within it
+}
+
 // ReplicaInfo names one replica of a group and its addresses.
 type ReplicaInfo struct {
 	ID   string `json:"id"`
--- /dev/null
+++ b/internal/registry/freshness_tracker_test.go
@@ -0,0 +1,31 @@
+package registry
+
+import (
+	"testing"
+	"time"
+)
+
+// Reads are current as long as their evidence is young enough, whatever order it comes in.
+func TestFreshnessTracker(t *testing.T) {
+	const maxAge = 600 * time.Millisecond
+	start := time.Unix(1000, 0)
+	var tracker FreshnessTracker
+	expect := func(now time.Time, wantFreshness string, wantAge time.Duration) {
+		t.Helper()
+		if freshness, age := tracker.At(now, maxAge); freshness != wantFreshness || age != wantAge {
+			t.Errorf("at %v: got %s with age %v, want %s with %v", now.Sub(start), freshness, age, wantFreshness, wantAge)
+		}
+	}
+	expect(start, ReadStale, 0)
+	if !tracker.Confirm(start) {
+		t.Error("the first evidence is not reported as the first")
+	}
+	expect(start.Add(maxAge), ReadCurrent, maxAge)
+	expect(start.Add(maxAge+1), ReadStale, maxAge+1)
+	if tracker.Confirm(start.Add(time.Second)) {
+		t.Error("the second evidence is reported as the first")
+	}
+	tracker.Confirm(start.Add(time.Millisecond)) // an answer that was late
+	expect(start.Add(time.Second), ReadCurrent, 0)
+	expect(start.Add(time.Second-1), ReadCurrent, 0)
+}
--- a/internal/registry/server/freshness.go
+++ b/internal/registry/server/freshness.go
@@ -1,9 +1,11 @@
 package server
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -15,92 +17,153 @@
 )
 
 const (
-	// staleElections is after how many election timeouts without contact with a leader
-	// a replica calls its reads stale.
+	// staleElections is for how many election timeouts after its last evidence a replica
+	// calls its reads current.
 	staleElections = 3
-	// catchUpInterval is the mean time between two tries to become ready.
-	catchUpInterval = 50 * time.Millisecond
+	// confirmationsPerElection is how often within an election timeout a replica asks the
+	// leader for its commit index.
+	confirmationsPerElection = 4
 	// appliedPollInterval is how often a linearizable read looks whether the log is applied.
 	appliedPollInterval = time.Millisecond
+	// maxCommitAnswer bounds the answer to a call for the commit index, in bytes.
+	maxCommitAnswer = 16 << 10
 )
 
 var (
 	errNotReady = errors.New("this replica has not caught up with its group yet")
 	errNoLeader = errors.New("no leader is known: this replica has no contact with a quorum")
+	// errAppliedTooSlowly says that entries which the group has committed are not applied
+	// here: they were not received, or not stored, or the state machine is slow.
+	errAppliedTooSlowly = errors.New("the log is applied too slowly")
 )
 
+// maxReadAge is how old the evidence for a read that is called current may be.
+func (r *Replica) maxReadAge() time.Duration {
+	return staleElections * r.config.Load().electionTimeout()
+}
+
 // freshness returns how fresh reads from this replica are: registry.ReadCurrent or
-// registry.ReadStale, and the time since the last contact with a leader.
+// registry.ReadStale, and for how long there may be writes that they do not show.
 func (r *Replica) freshness(now time.Time) (freshness string, age time.Duration) {
-	if r.raft.State() == raft.Leader {
-		return registry.ReadCurrent, 0
-	}
-	last := r.raft.LastContact()
-	if last.IsZero() {
-		return registry.ReadStale, 0
-	}
-	age = max(0, now.Sub(last)) // the leader may have been in contact since now was read
-	if leader, _ := r.raft.LeaderWithID(); leader == "" || age > staleElections*r.config.Load().electionTimeout() {
-		return registry.ReadStale, age
+	if r.raft.State() == raft.Leader && len(r.voters()) == 1 {
+		return registry.ReadCurrent, 0 // nobody else can have acknowledged anything
 	}
-	return registry.ReadCurrent, age
+	return r.reads.At(now, r.maxReadAge())
 }
 
 // linearize returns once this replica is verified to lead and has applied everything
 // that any replica had acknowledged when the call began.
 func (r *Replica) linearize() error {
-	term, err := r.requireLeaderTerm()
+	commit, err := r.verifiedCommitIndex()
 	if err != nil {
 		return err
 	}
+	return r.awaitApplied(r.ctx, commit, writeTimeout)
+}
+
+// verifiedCommitIndex returns the commit index of this replica once it is verified that
+// it led when the call began or later. It covers all that was acknowledged before the call.
+func (r *Replica) verifiedCommitIndex() (uint64, error) {
+	term, err := r.requireLeaderTerm()
+	if err != nil {
+		return 0, err
+	}
 	commit := r.raft.CommitIndex()
 	if err := r.verifyLeadership(); err != nil {
-		return err
+		return 0, err
 	}
 	// Leadership may have been lost after the index was read, and won again: entries
 	// that another leader committed in between are not within that index.
 	if now, err := r.requireLeaderTerm(); err != nil || now != term {
-		return errNewLeader
+		return 0, errNewLeader
 	}
-	for deadline := time.Now().Add(writeTimeout); r.raft.AppliedIndex() < commit; {
-		if time.Now().After(deadline) {
-			return errors.New("the log is applied too slowly")
+	return commit, nil
+}
+
+// awaitApplied waits until the log is applied up to an index.
+func (r *Replica) awaitApplied(ctx context.Context, index uint64, timeout time.Duration) error {
+	for deadline := time.Now().Add(timeout); r.raft.AppliedIndex() < index; {
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return errAppliedTooSlowly
 		}
 		time.Sleep(appliedPollInterval)
 	}
 	return nil
 }
 
-// catchUp makes the replica ready once it has applied what the group had committed when
-// it started. Before, it would show watchers a list older than the one they have.
-func (r *Replica) catchUp() {
+// confirmReads gathers evidence for how fresh this replica's reads are, until it is
+// closed. The first evidence makes it ready: before, it would show watchers a list older
+// than the one they have.
+func (r *Replica) confirmReads() {
 	for r.ctx.Err() == nil {
-		if seq, err := r.leaderListVersion(); err == nil && seq > 0 && r.stateMachine.seq() >= seq {
-			r.ready.Store(true)
-			slog.Info("registry: ready", "seq", r.stateMachine.seq())
-			return
-		}
+		err := r.confirmReadsOnce()
+		r.readsError.Store(&err)
+		interval := r.config.Load().electionTimeout() / confirmationsPerElection
 		select {
-		case <-time.After(catchUpInterval/2 + rand.N(catchUpInterval)):
+		case <-time.After(interval/2 + rand.N(interval)):
 		case <-r.ctx.Done():
 		}
 	}
 }
 
-// leaderListVersion returns the list's version at the leader.
-func (r *Replica) leaderListVersion() (uint64, error) {
+// confirmReadsOnce asks the leader for its commit index, and waits until the log is
+// applied up to it here.
+func (r *Replica) confirmReadsOnce() error {
+	asked := time.Now()
+	ctx, cancel := context.WithTimeout(r.ctx, r.config.Load().electionTimeout())
+	defer cancel()
+	commit, err := r.leaderCommitIndex(ctx)
+	if err != nil {
+		return err
+	}
+	if err := r.awaitApplied(r.ctx, commit, r.maxReadAge()); err != nil {
+		return err
+	}
+	if r.reads.Confirm(asked) {
+		r.ready.Store(true)
+		slog.Info("registry: ready", "seq", r.stateMachine.seq())
+	}
+	return nil
+}
+
+// leaderCommitIndex returns an index of the log that covers all that the group had
+// acknowledged when the call began.
+func (r *Replica) leaderCommitIndex(ctx context.Context) (uint64, error) {
 	_, id := r.raft.LeaderWithID()
 	if string(id) == r.self.ID {
-		if err := r.linearize(); err != nil {
-			return 0, err
-		}
-		return r.stateMachine.seq(), nil
+		return r.verifiedCommitIndex()
+	}
+	var commit registry.CommitResponse
+	status, err := r.callReplica(ctx, string(id), "commit", &commit)
+	if status != http.StatusNotFound {
+		return commit.CommitIndex, err
+	}
+	// The leader runs an earlier version, which tells what it has applied.
+	var applied registry.StatusResponse
+	_, err = r.callReplica(ctx, string(id), "status?linearizable=1", &applied)
+	return applied.Applied, err
+}
+
+// serveCommit answers with an index that covers all that was acknowledged before the
+// call. The call limiter does not count it: a leader that is busy is still the leader, and
+// its followers must be able to confirm their reads.
+func (r *Replica) serveCommit(w http.ResponseWriter, req *http.Request) {
+	commit, err := r.verifiedCommitIndex()
+	if err != nil {
+		r.writeError(w, req, err)
+		return
 	}
-	leader, ok := r.findReplica(string(id))
+	writeAnswer(w, registry.ReadLinearizable, registry.CommitResponse{CommitIndex: commit})
+}
+
+// callReplica makes a GET call of the API to another replica and reads its answer. The
+// status is 0 if there was no answer.
+func (r *Replica) callReplica(ctx context.Context, id, path string, answer any) (status int, err error) {
+	replica, ok := r.findReplica(id)
 	if !ok {
 		return 0, errNoLeader
 	}
-	req, err := http.NewRequestWithContext(r.ctx, http.MethodGet, "http://"+leader.HTTP+registry.APIPath+"status?linearizable=1", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+replica.HTTP+registry.APIPath+path, nil)
 	if err != nil {
 		return 0, err
 	}
@@ -110,13 +173,23 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return 0, fmt.Errorf("the leader answers %d", resp.StatusCode)
+		return resp.StatusCode, fmt.Errorf("the leader answers %d", resp.StatusCode)
 	}
-	var status registry.StatusResponse
-	if err := json.NewDecoder(resp.Body).Decode(&status); err != nil {
-		return 0, err
+	return resp.StatusCode, json.NewDecoder(io.LimitReader(resp.Body, maxCommitAnswer)).Decode(answer)
+}
+
+// leaderListVersion returns the list's version at the leader.
+func (r *Replica) leaderListVersion() (uint64, error) {
+	_, id := r.raft.LeaderWithID()
+	if string(id) == r.self.ID {
+		if err := r.linearize(); err != nil {
+			return 0, err
+		}
+		return r.stateMachine.seq(), nil
 	}
-	return status.Seq, nil
+	var status registry.StatusResponse
+	_, err := r.callReplica(r.ctx, string(id), "status?linearizable=1", &status)
+	return status.Seq, err
 }
 
 // endWatchesWhenStale ends the open watches each time this replica becomes stale, so
@@ -136,11 +209,22 @@
 		switch {
 		case freshness == last:
 		case freshness == registry.ReadCurrent:
-			slog.Info("registry: leader found again")
+			slog.Info("registry: reads are current again")
 		case r.ready.Load():
-			slog.Warn("registry: no leader, list served as stale", "age", age)
+			slog.Warn("registry: reads are stale", "age", age, "err", r.staleReason())
 			r.broadcaster.endWatches()
 		}
 		last = freshness
 	}
 }
+
+// staleReason returns why the latest try to confirm reads failed, as far as it is known.
+func (r *Replica) staleReason() error {
+	if failed := r.storage.log.lastWriteError.Load(); failed != nil {
+		return fmt.Errorf("this replica cannot write its log: %w", *failed)
+	}
+	if failed := r.readsError.Load(); failed != nil && *failed != nil {
+		return *failed
+	}
+	return errNoLeader
+}
--- a/internal/registry/server/handler.go
+++ b/internal/registry/server/handler.go
@@ -67,6 +67,7 @@
 	api("PUT", "members/{id}", r.limited(r.serveAddReplica))
 	api("DELETE", "members/{id}", r.limited(r.serveRemoveReplica))
 	api("GET", "term", r.serveTerm)
+	api("GET", "commit", r.serveCommit)
 	mux.HandleFunc(registry.APIPath+membership.ViewPath, r.serveMembership)
 	return mux
 }
--- a/internal/registry/server/http_read.go
+++ b/internal/registry/server/http_read.go
@@ -29,9 +29,10 @@
 }
 
 // freshnessHeader is the value of registry.ReadHeader for a read that is not linearizable.
+// The age is rounded up: what was acknowledged before it is in the response.
 func (r *Replica) freshnessHeader() string {
 	freshness, age := r.freshness(time.Now())
-	return fmt.Sprintf("%s; age_ms=%d", freshness, age.Milliseconds())
+	return fmt.Sprintf("%s; age_ms=%d", freshness, (age + time.Millisecond - 1).Milliseconds())
 }
 
 // serveList serves the protocol's list and watch.
--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -49,7 +49,9 @@
 	peerClient *http.Client                // calls other replicas
 	gossip     atomic.Pointer[gossip.Node] // nil without membership
 
-	ready             atomic.Bool // it has caught up with the group once since its start
+	reads             registry.FreshnessTracker
+	readsError        atomic.Pointer[error] // of the latest try to confirm reads
+	ready             atomic.Bool           // it has caught up with the group once since its start
 	limiter           *callLimiter
 	leaseWriteLimiter *rate.Limiter
 	maxConnections    int // that its listener accepts at once
@@ -90,7 +92,7 @@
 		return nil, err
 	}
 	r.background.Go(r.followLeadership)
-	r.background.Go(r.catchUp)
+	r.background.Go(r.confirmReads)
 	r.background.Go(r.endWatchesWhenStale)
 	r.background.Go(func() { r.verifier.run(r.ctx) })
 	return r, nil
