--- a/internal/registry/server/compat_test.go
+++ b/internal/registry/server/compat_test.go
@@ -36,6 +36,7 @@
 func runReplica(config string) error {
 	stop, done := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer done()
+	signal.Ignore(syscall.SIGXFSZ) // a disk that a test has filled
 	return Run(stop, nil, config)
 }
 
