Registry: a replica that cannot lead sends no heartbeats; replication is retried steadily

Symptom: with the leader's disk full no write was taken until it had room, or for up to ten seconds; a replica whose disk had been full got the list 8.6 s after it had room.

Cause: Raft's own goroutine waits in the term store, or sleeps up to 10.24 s between two tries to replicate, while the goroutine that sends heartbeats goes on. To the other replicas the old leader leads, so that they reject every candidate.

leader_transport.go sends a leader's messages only while its claim holds: the same term, no term that waits for room, no write to the disk that has been running for three election timeouts. Entries are sent again every 100 ms instead of with a doubling pause.

DeleteRange is noted like other writes.

--- a/internal/registry/server/checked_log.go
+++ b/internal/registry/server/checked_log.go
@@ -18,6 +18,7 @@
 // checkedLog is Raft's log with a checksum for each entry, which BoltDB does not have.
 type checkedLog struct {
 	*raftboltdb.BoltStore
+	calls          *diskCalls
 	lastWriteError atomic.Pointer[error] // nil if the last write succeeded
 }
 
@@ -42,7 +43,18 @@
 		withChecksum.Data = binary.BigEndian.AppendUint32(data, entryChecksum(entry, entry.Data))
 		checked[i] = &withChecksum
 	}
-	err := l.BoltStore.StoreLogs(checked)
+	return l.noted(func() error { return l.BoltStore.StoreLogs(checked) })
+}
+
+// DeleteRange deletes the entries from one index to another, both included.
+func (l *checkedLog) DeleteRange(first, last uint64) error {
+	return l.noted(func() error { return l.BoltStore.DeleteRange(first, last) })
+}
+
+// noted runs a write, and keeps what became of it.
+func (l *checkedLog) noted(write func() error) error {
+	defer l.calls.begin()()
+	err := write()
 	if err != nil {
 		l.lastWriteError.Store(&err)
 	} else {
--- a/internal/registry/server/group.go
+++ b/internal/registry/server/group.go
@@ -23,6 +23,16 @@
 	return f.Configuration().Servers
 }
 
+// isVoter reports whether a replica is in the group's configuration. node is nil while
+// this replica starts.
+func isVoter(node *raft.Raft, id raft.ServerID) bool {
+	if node == nil {
+		return false
+	}
+	f := node.GetConfiguration()
+	return f.Error() == nil && slices.ContainsFunc(f.Configuration().Servers, func(s raft.Server) bool { return s.ID == id })
+}
+
 // findReplica returns the addresses of a replica: as members of the fleet see them, or
 // else from its record, or else from the configuration.
 func (r *Replica) findReplica(id string) (registry.ReplicaInfo, bool) {
--- a/internal/registry/server/leadership.go
+++ b/internal/registry/server/leadership.go
@@ -109,6 +109,21 @@
 	slog.Info("registry: lost leadership")
 }
 
+// checkLeadershipClaim returns an error if this replica must not tell others that it leads
+// in a term. node is nil while it starts.
+func (r *Replica) checkLeadershipClaim(node *raft.Raft, term uint64) error {
+	if node == nil {
+		return errLeadsNoLonger
+	}
+	claim := leadershipClaim{
+		state:     node.State(),
+		term:      node.CurrentTerm(),
+		termWaits: r.storage.terms.waiting.Load() > 0,
+		diskCall:  r.storage.terms.calls.longest(time.Now()),
+	}
+	return claim.check(term, staleElections*r.config.Load().electionTimeout())
+}
+
 // requireLeader returns an error unless this replica leads and has applied what its
 // predecessors committed.
 func (r *Replica) requireLeader() error {
--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -41,7 +41,7 @@
 
 	storage      *storage
 	raft         *raft.Raft
-	transport    *raft.NetworkTransport
+	transport    *leaderTransport
 	stateMachine *stateMachine
 	leadership   leadership
 	verifier     *leadershipVerifier
@@ -132,9 +132,13 @@
 		r.stateMachine.view(func(s *registry.State) { founded = s.FirstVersion() })
 		return c.Group, founded
 	})
-	r.transport = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
+	network := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
 		Stream: layer, MaxPool: raftPoolSize, Timeout: raftTimeout, Logger: logger, ServerAddressProvider: addressProvider{r},
 	})
+	var started atomic.Pointer[raft.Raft] // nil until NewRaft has returned
+	r.transport = newLeaderTransport(network,
+		func(term uint64) error { return r.checkLeadershipClaim(started.Load(), term) },
+		func(id raft.ServerID) bool { return isVoter(started.Load(), id) })
 	if r.storage.isNew && !c.Join {
 		if err := r.bootstrap(c, settings); err != nil {
 			r.transport.Close()
@@ -146,6 +150,7 @@
 		r.transport.Close()
 		return fmt.Errorf("start on %s: %w", c.DataDir, err)
 	}
+	started.Store(r.raft)
 	return nil
 }
 
--- a/internal/registry/server/stepdown_test.go
+++ b/internal/registry/server/stepdown_test.go
@@ -128,6 +128,7 @@
 // leader` every 0.4 s at one replica, the leader it names answering no vote request, and
 // `no leader is known` to the callers of all three.
 func TestLeaderThatWaitsForItsDiskDoesNotClaimToLead(t *testing.T) {
+	t.Parallel()
 	g := startProcessGroup(t)
 	leader := g.leaderAmong(g.members)
 	g.setDiskFull(leader.ID, true)
@@ -144,6 +145,7 @@
 // replica leads no longer. Its heartbeats go on until it returns. So the second of two full
 // disks, one after the other, stops all writes though a quorum has room.
 func TestHeartbeatsEndWithLeadership(t *testing.T) {
+	t.Parallel()
 	g := startProcessGroup(t)
 	leader := g.leaderAmong(g.members)
 	others := g.others(leader.ID)
@@ -165,6 +167,7 @@
 // has to have it by then.
 func TestReplicationGoesOnOnceThereIsRoom(t *testing.T) {
 	const toldBound = 6 * time.Second
+	t.Parallel()
 	g := startProcessGroup(t)
 	leader := g.leaderAmong(g.members)
 	follower := g.others(leader.ID)[0]
--- a/internal/registry/server/storage.go
+++ b/internal/registry/server/storage.go
@@ -50,7 +50,8 @@
 	} else if err != nil {
 		return nil, fmt.Errorf("log %s: %w", path, err)
 	}
-	s := &storage{bolt: store, log: &checkedLog{BoltStore: store}, terms: newWaitingTermStore(store), isNew: isNew}
+	s := &storage{bolt: store, terms: newWaitingTermStore(store), isNew: isNew}
+	s.log = &checkedLog{BoltStore: store, calls: s.terms.calls}
 	if err := s.log.verify(); err != nil {
 		s.Close()
 		return nil, fmt.Errorf("log %s: %w", path, err)
--- a/internal/registry/server/term_store.go
+++ b/internal/registry/server/term_store.go
@@ -23,6 +23,7 @@
 // given.
 type waitingTermStore struct {
 	raft.StableStore
+	calls   *diskCalls
 	closing chan struct{}
 
 	mu             sync.Mutex
@@ -32,12 +33,19 @@
 }
 
 func newWaitingTermStore(store raft.StableStore) *waitingTermStore {
-	return &waitingTermStore{StableStore: store, closing: make(chan struct{})}
+	return &waitingTermStore{StableStore: store, calls: new(diskCalls), closing: make(chan struct{})}
+}
+
+// Set stores a value.
+func (s *waitingTermStore) Set(key, value []byte) error {
+	defer s.calls.begin()()
+	return s.StableStore.Set(key, value)
 }
 
 // SetUint64 stores a number. For the term it returns only once that is on disk.
 func (s *waitingTermStore) SetUint64(key []byte, value uint64) error {
 	if string(key) != termKey {
+		defer s.calls.begin()()
 		return s.StableStore.SetUint64(key, value)
 	}
 	err := s.storeTerm(key, value)
@@ -70,6 +78,7 @@
 	if s.wanted = max(s.wanted, term); term <= s.stored {
 		return nil
 	}
+	defer s.calls.begin()()
 	err := s.StableStore.SetUint64(key, s.wanted)
 	if err == nil {
 		s.stored = s.wanted
