Registry: a replica ends within 15 s of SIGTERM, and logs each step of its end

Symptom: a replica did not end within 20 s of SIGTERM (TestTorture, 1 of 10 runs).

Orders to Raft are awaited until Raft has ended; connections to other replicas are closed before Raft ends; long polls end with the watches; a transfer of leadership is awaited for 2 s. internal/shutdown logs each step with its time and cuts the process off at the bound.

A replica's state counts as holding an index once its own state machine has applied it: Raft's applied index counts what was handed to the goroutine that applies.

--- a/internal/membership/gossip/lifecycle.go
+++ b/internal/membership/gossip/lifecycle.go
@@ -113,7 +113,7 @@
 	n.mu.Lock()
 	latest, _ := n.view.Latest(n.self.Name)
 	n.mu.Unlock()
-	if latest.Incarnation <= n.self.Incarnation {
+	if latest.Incarnation <= n.Self().Incarnation {
 		return nil
 	}
 	if n.options.Transport != nil {
@@ -135,7 +135,7 @@
 
 // leave announces that this process leaves, and stops.
 func (n *Node) leave() error {
-	n.broadcast(message{Kind: messageLeave, Key: n.self.Key()})
+	n.broadcast(message{Kind: messageLeave, Key: n.Self().Key()})
 	time.Sleep(2 * gossipInterval) // lets the message go out before SWIM's own
 	err := n.list.Load().Leave(leaveTimeout)
 	n.saveCache()
@@ -166,7 +166,7 @@
 		n.counters.healRounds.Store(uint64(healRounds))
 		n.log.Info("members: all views agree again", "present", partition.Present, "rounds", healRounds)
 	}
-	n.send(targets, message{Kind: messageDigest, Key: n.self.Key(), Digest: digest})
+	n.send(targets, message{Kind: messageDigest, Key: n.Self().Key(), Digest: digest})
 	if partitionChanged || healed {
 		n.notifyChanged()
 	}
--- a/internal/registry/server/freshness.go
+++ b/internal/registry/server/freshness.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -80,9 +81,9 @@
 	return commit, nil
 }
 
-// awaitApplied waits until the log is applied up to an index.
+// awaitApplied waits until the state holds the log up to an index.
 func (r *Replica) awaitApplied(ctx context.Context, index uint64, timeout time.Duration) error {
-	for deadline := time.Now().Add(timeout); r.raft.AppliedIndex() < index; {
+	for deadline := time.Now().Add(timeout); !r.stateHolds(index); {
 		if time.Now().After(deadline) || ctx.Err() != nil {
 			return errAppliedTooSlowly
 		}
@@ -91,6 +92,38 @@
 	return nil
 }
 
+// stateHolds reports whether the state holds all commands of the log up to an index that is
+// committed. Raft's own applied index does not tell: it counts what was handed to the
+// goroutine that applies, which may be behind.
+func (r *Replica) stateHolds(index uint64) bool {
+	if r.raft.AppliedIndex() < index {
+		return false // restored snapshots are within this index only once they are in the state
+	}
+	held := max(r.stateMachine.applied.Load(), r.heldIndex.Load())
+	for i := index; i > held; i-- {
+		var entry raft.Log
+		err := r.storage.log.GetLog(i, &entry)
+		if errors.Is(err, raft.ErrLogNotFound) {
+			break // compacted: it is in a snapshot, which was taken of the state or is in it
+		}
+		if err != nil || entry.Type == raft.LogCommand && i > r.snapshotIndex() {
+			return false
+		}
+	}
+	r.heldIndex.Store(max(r.heldIndex.Load(), index))
+	return true
+}
+
+// snapshotIndex returns the index of the last snapshot that was taken of the state or
+// restored into it; 0 if there is none.
+func (r *Replica) snapshotIndex() uint64 {
+	index, err := strconv.ParseUint(r.raft.Stats()["last_snapshot_index"], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return index
+}
+
 // confirmReads gathers evidence for how fresh this replica's reads are, until it is
 // closed. The first evidence makes it ready: before, it would show watchers a list older
 // than the one they have.
--- a/internal/registry/server/http_error.go
+++ b/internal/registry/server/http_error.go
@@ -64,7 +64,7 @@
 			return http.StatusTemporaryRedirect, fmt.Errorf("replica %s leads", leader.ID)
 		}
 		err = r.noLeaderError()
-	case errors.Is(err, raft.ErrLeadershipLost), errors.Is(err, raft.ErrEnqueueTimeout):
+	case errors.Is(err, raft.ErrLeadershipLost), errors.Is(err, raft.ErrEnqueueTimeout), errors.Is(err, raft.ErrRaftShutdown):
 		err = fmt.Errorf("the leader changed: the write may have been done or not, and can be sent again: %w", err)
 	}
 	r.counters.refusedCalls.Add(1)
--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -23,6 +23,10 @@
 	// writeTimeout is how long a write may take until a quorum has it on disk.
 	writeTimeout = 5 * time.Second
 
+	// transferTimeout is how long a replica that ends waits until another leads. The others
+	// elect one by themselves if none does.
+	transferTimeout = 2 * time.Second
+
 	raftPoolSize       = 3 // connections kept to each other replica
 	raftTimeout        = 2 * time.Second
 	commitsPerElection = 4 // commit messages at least within an election timeout
@@ -33,6 +37,8 @@
 	maxPeerConnections = 4           // to one replica, for such calls
 )
 
+var errTransferTimeout = errors.New("no other replica has taken it in time")
+
 // Replica is one replica of the registry: a Raft node, the state machine that its log
 // drives, and the HTTP interface to both.
 type Replica struct {
@@ -50,6 +56,7 @@
 	gossip     atomic.Pointer[gossip.Node] // nil without membership
 
 	reads             registry.FreshnessTracker
+	heldIndex         atomic.Uint64         // of the log; the state is known to hold all commands up to it
 	readsError        atomic.Pointer[error] // of the latest try to confirm reads
 	ready             atomic.Bool           // it has caught up with the group once since its start
 	limiter           *callLimiter
@@ -60,8 +67,11 @@
 	watchVersions     watchVersions
 	counters          counters
 
+	polls      context.Context // ends when the replica begins to shut down
+	endPolls   context.CancelFunc
 	ctx        context.Context // ends when the replica is closed
 	cancel     context.CancelFunc
+	raftEnded  chan struct{} // closed once Raft has ended, and answers nobody any more
 	background sync.WaitGroup
 }
 
@@ -108,6 +118,7 @@
 		limiter:           &callLimiter{limits: c.Limits},
 		leaseWriteLimiter: rate.NewLimiter(rate.Limit(c.Leases.WritesPerSecond), int(c.Leases.WritesPerSecond)),
 		maxConnections:    c.Limits.maxConnections(),
+		raftEnded:         make(chan struct{}),
 	}
 	r.peerClient = &http.Client{
 		Timeout: peerCallTimeout,
@@ -118,6 +129,7 @@
 	r.verifier = newLeadershipVerifier(r.confirmLeadership)
 	r.config.Store(c)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.polls, r.endPolls = context.WithCancel(r.ctx)
 	return r
 }
 
@@ -183,25 +195,63 @@
 	return raft.BootstrapCluster(settings, r.storage.log, r.storage.bolt, r.storage.snapshots, r.transport, group)
 }
 
-// PrepareShutdown hands leadership over and ends the watches. Calls are still answered.
+// PrepareShutdown hands leadership over and ends the watches and the long polls. Calls are
+// still answered.
 func (r *Replica) PrepareShutdown() {
 	if r.raft.State() == raft.Leader && len(r.voters()) > 1 {
-		if err := r.raft.LeadershipTransfer().Error(); err != nil {
+		if err := r.transferLeadership(); err != nil {
 			slog.Warn("registry: leadership transfer failed", "err", err)
 		}
 	}
+	r.endPolls()
 	r.broadcaster.close()
 }
 
-// Close stops the replica.
+// transferLeadership hands leadership over. Raft's own goroutine may be stuck in a call of
+// the disk, so it is not waited for any longer than a transfer may take.
+func (r *Replica) transferLeadership() error {
+	transferred := make(chan error, 1)
+	go func() { transferred <- r.await(r.raft.LeadershipTransfer()) }() // ends with Raft at the latest
+	select {
+	case err := <-transferred:
+		return err
+	case <-time.After(transferTimeout):
+		return errTransferTimeout
+	}
+}
+
+// Close stops the replica. The connections to and from other replicas are closed before
+// Raft ends: it waits for its goroutines, and one of them may read a snapshot from a
+// connection on which nothing arrives any more.
 func (r *Replica) Close() error {
+	r.endPolls()
 	r.broadcaster.close()
 	r.cancel()
 	close(r.storage.terms.closing)
-	err := r.raft.Shutdown().Error()
+	transportErr := r.transport.Close()
+	raftErr := r.raft.Shutdown().Error()
+	close(r.raftEnded)
 	r.background.Wait()
 	r.peerClient.CloseIdleConnections()
-	return errors.Join(err, r.transport.Close(), r.storage.Close())
+	return errors.Join(raftErr, transportErr, r.storage.Close())
+}
+
+// await waits for what became of an order to Raft. At its end the library leaves unanswered
+// what its log has committed and its state machine has not applied.
+func (r *Replica) await(order raft.Future) error {
+	answered := make(chan error, 1)
+	go func() { answered <- order.Error() }() // one that is never answered ends with the process
+	select {
+	case err := <-answered:
+		return err
+	case <-r.raftEnded:
+	}
+	select {
+	case err := <-answered:
+		return err
+	default:
+		return raft.ErrRaftShutdown
+	}
 }
 
 // apply has the group apply a command. When it returns without an error, a quorum has
@@ -213,7 +263,7 @@
 		return registry.Result{}, fmt.Errorf("write command: %w", err)
 	}
 	future := r.raft.Apply(text, writeTimeout)
-	if err := future.Error(); err != nil {
+	if err := r.await(future); err != nil {
 		return registry.Result{}, err
 	}
 	r.counters.writes.Add(1)
--- a/internal/registry/server/run.go
+++ b/internal/registry/server/run.go
@@ -11,10 +11,17 @@
 	"time"
 
 	"golang.org/x/net/netutil"
+
+	"barleywick/internal/shutdown"
 )
 
-// shutdownTimeout is how long calls may take to finish at the end; watches end at once.
-const shutdownTimeout = 5 * time.Second
+const (
+	// shutdownTimeout is how long calls may take to finish at the end; watches end at once.
+	shutdownTimeout = 5 * time.Second
+	// endBound is how long the whole end may take: the transfer of leadership, the calls, the
+	// farewell to the members of the fleet, calls to other replicas that are under way.
+	endBound = 15 * time.Second
+)
 
 // Run serves one replica by the configuration file at path until stop is done. At each
 // value of reload it reads the file again.
@@ -37,19 +44,49 @@
 	if err != nil {
 		return err
 	}
-	defer func() { err = errors.Join(err, r.Close()) }()
 	leave, err := r.joinMembership()
 	if err != nil {
-		return err
+		return errors.Join(err, r.Close())
 	}
-	defer leave()
 	slog.Info("registry: serving", "group", c.Group, "id", c.ID, "http", self.HTTP, "raft", self.Raft)
-	return r.serve(stop, reload, ln, path)
+	server := r.HTTPServer()
+	err = r.serve(stop, reload, server, ln, path)
+	return errors.Join(err, r.end(server, leave))
+}
+
+// end ends the replica step by step.
+func (r *Replica) end(server *http.Server, leave func()) error {
+	slog.Info("registry: shutting down")
+	sequence := shutdown.Begin("registry", endBound)
+	defer sequence.End()
+	steps := []struct {
+		name string
+		run  func() error
+	}{
+		{"leadership", func() error { r.PrepareShutdown(); return nil }},
+		{"calls", func() error { return finishCalls(server) }},
+		{"membership", func() error { leave(); return nil }},
+		{"raft and storage", r.Close},
+	}
+	var errs []error
+	for _, step := range steps {
+		errs = append(errs, sequence.Step(step.name, step.run))
+	}
+	return errors.Join(errs...)
+}
+
+// finishCalls waits until the calls are answered, and cuts those that take too long.
+func finishCalls(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return server.Close()
+	}
+	return nil
 }
 
 // serve answers calls on a listener until stop is done.
-func (r *Replica) serve(stop context.Context, reload <-chan os.Signal, ln net.Listener, path string) error {
-	server := r.HTTPServer()
+func (r *Replica) serve(stop context.Context, reload <-chan os.Signal, server *http.Server, ln net.Listener, path string) error {
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(netutil.LimitListener(ln, r.maxConnections)) }()
 	for {
@@ -57,7 +94,6 @@
 		case err := <-served:
 			return fmt.Errorf("serve: %w", err)
 		case <-stop.Done():
-			r.shutdown(server)
 			return nil
 		case <-reload:
 			r.reloadFile(path)
@@ -65,16 +101,6 @@
 	}
 }
 
-func (r *Replica) shutdown(server *http.Server) {
-	slog.Info("registry: shutting down")
-	r.PrepareShutdown()
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		server.Close()
-	}
-}
-
 // reloadFile reads the configuration file again. If it cannot be used the old
 // configuration stays in force.
 func (r *Replica) reloadFile(path string) {
--- a/internal/registry/server/shutdown_test.go
+++ b/internal/registry/server/shutdown_test.go
@@ -13,9 +13,6 @@
 	"barleywick/internal/registry"
 )
 
-// endBound is how long a replica may take to end, by docs/REGISTRY.md.
-const endBound = 15 * time.Second
-
 // closesInTime closes a replica, and fails the test if that takes longer than the bound.
 func closesInTime(t *testing.T, n *node) {
 	t.Helper()
--- a/internal/registry/server/state_machine.go
+++ b/internal/registry/server/state_machine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/hashicorp/raft"
 
@@ -18,6 +19,8 @@
 type stateMachine struct {
 	broadcaster *watchBroadcaster
 
+	applied atomic.Uint64 // the index of the last command that was applied
+
 	mu                    sync.RWMutex
 	state                 *registry.State
 	fullListCache         []byte // the full list, encoded once for each version
@@ -37,6 +40,7 @@
 
 // Apply applies one command of the log.
 func (m *stateMachine) Apply(entry *raft.Log) any {
+	defer m.applied.Store(entry.Index)
 	if entry.Type != raft.LogCommand {
 		return registry.Result{}
 	}
--- a/internal/registry/server/stream_layer.go
+++ b/internal/registry/server/stream_layer.go
@@ -43,6 +43,49 @@
 	closed    chan struct{}
 	running   sync.WaitGroup
 	closeOnce sync.Once
+
+	mu   sync.Mutex
+	open map[*layerConn]struct{}
+	over bool // the layer is closed
+}
+
+// layerConn is a connection to or from another replica, which the layer closes at its end.
+type layerConn struct {
+	net.Conn
+	layer *streamLayer
+}
+
+// Close closes the connection.
+func (c *layerConn) Close() error {
+	c.layer.mu.Lock()
+	delete(c.layer.open, c)
+	c.layer.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// track returns a connection that is closed with the layer. It closes one that comes later.
+func (l *streamLayer) track(conn net.Conn) (*layerConn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.over {
+		return nil, errors.Join(net.ErrClosed, conn.Close())
+	}
+	if l.open == nil {
+		l.open = make(map[*layerConn]struct{})
+	}
+	tracked := &layerConn{conn, l}
+	l.open[tracked] = struct{}{}
+	return tracked, nil
+}
+
+// closeConns closes all connections, and those that come later.
+func (l *streamLayer) closeConns() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.open {
+		_ = conn.Conn.Close() // whoever uses it gets the error
+	}
+	l.over = true
 }
 
 func newStreamLayer(ln net.Listener, routes addressmap.Map, localHistory func() (string, uint64)) *streamLayer {
@@ -81,6 +124,11 @@
 
 // deliver hands a connection to Accept once its handshake has succeeded.
 func (l *streamLayer) deliver(conn net.Conn) {
+	tracked, err := l.track(conn)
+	if err != nil {
+		return
+	}
+	conn = tracked
 	if err := l.acceptHandshake(conn); err != nil {
 		slog.Warn("raft: connection refused by handshake", "from", conn.RemoteAddr(), "err", err)
 		conn.Close()
@@ -178,10 +226,11 @@
 	}
 }
 
-// Close stops listening.
+// Close stops listening and closes all connections.
 func (l *streamLayer) Close() error {
 	err := l.Listener.Close()
 	l.closeOnce.Do(func() { close(l.closed) })
+	l.closeConns()
 	l.running.Wait()
 	return err
 }
@@ -190,7 +239,11 @@
 func (l *streamLayer) Dial(to raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	conn, err := l.routes.Dialer(0)(ctx, "tcp", string(to))
+	dialed, err := l.routes.Dialer(0)(ctx, "tcp", string(to))
+	if err != nil {
+		return nil, err
+	}
+	conn, err := l.track(dialed)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/shutdown/shutdown.go
@@ -0,0 +1,75 @@
+// Package shutdown bounds the end of a process and logs its steps. A process that was told
+// to end and hangs is worse than one that is cut off: its platform kills it some time later,
+// and nobody knows in what it hung.
+package shutdown
+
+import (
+	"log/slog"
+	"os"
+	"runtime"
+	"sync"
+	"time"
+)
+
+// statusCutOff is the exit status of a process whose end was cut off: it has failed.
+const statusCutOff = 1
+
+// maxStacks bounds the goroutines' stacks that are logged when an end is cut off, in bytes.
+const maxStacks = 1 << 20
+
+// Sequence is the end of a process: steps, one after the other, within a bound.
+type Sequence struct {
+	program string
+	bound   time.Duration
+	begun   time.Time
+	timer   *time.Timer
+	exit    func(status int)
+
+	mu   sync.Mutex
+	step string // that is under way; empty between two
+}
+
+// Begin starts the end of a program. If End is not called within the bound, the step that
+// is under way is logged with the stacks of all goroutines, and the process exits.
+func Begin(program string, bound time.Duration) *Sequence {
+	return begin(program, bound, os.Exit)
+}
+
+func begin(program string, bound time.Duration, exit func(status int)) *Sequence {
+	s := &Sequence{program: program, bound: bound, begun: time.Now(), exit: exit}
+	s.timer = time.AfterFunc(bound, s.cutOff)
+	return s
+}
+
+// Step runs one step, and logs how long it took.
+func (s *Sequence) Step(name string, run func() error) error {
+	s.setStep(name)
+	begun := time.Now()
+	err := run()
+	slog.Info("shutdown: step ended", "program", s.program, "step", name, "took", time.Since(begun).Round(time.Millisecond), "err", err)
+	s.setStep("")
+	return err
+}
+
+// End says that the last step has ended.
+func (s *Sequence) End() {
+	s.timer.Stop()
+	slog.Info("shutdown: ended", "program", s.program, "took", time.Since(s.begun).Round(time.Millisecond))
+}
+
+func (s *Sequence) setStep(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.step = name
+}
+
+// cutOff ends the process at the bound.
+func (s *Sequence) cutOff() {
+	s.mu.Lock()
+	step := s.step
+	s.mu.Unlock()
+	slog.Error("shutdown: cut off", "program", s.program, "step", step, "bound", s.bound)
+	stacks := make([]byte, maxStacks)
+	_, _ = os.Stderr.Write(stacks[:runtime.Stack(stacks, true)]) // nobody can be told if it fails
+	s.exit(statusCutOff)
+}
--- /dev/null
+++ b/internal/shutdown/shutdown_test.go
@@ -0,0 +1,44 @@
+package shutdown
+
+import (
+	"bytes"
+	"errors"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// An end that takes longer than its bound is cut off, and the log names the step in which
+// it hung; one that ends in time is not.
+func TestEndIsCutOffAtItsBound(t *testing.T) {
+	for name, x := range map[string]struct {
+		hangs time.Duration
+		want  bool
+	}{"in time": {9 * time.Second, false}, "too late": {11 * time.Second, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			var log bytes.Buffer
+			defer slog.SetDefault(slog.Default())
+			slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
+			var statuses []int
+			s := begin("registry", 10*time.Second, func(status int) { statuses = append(statuses, status) })
+			failed := errors.New("failed")
+			if err := s.Step("first", func() error { return failed }); !errors.Is(err, failed) {
+				t.Errorf("%s: the step's error is %v, want %v", name, err, failed)
+			}
+			_ = s.Step("second", func() error {
+				time.Sleep(x.hangs)
+				return nil
+			})
+			s.End()
+			synctest.Wait()
+			if got := len(statuses) > 0; got != x.want {
+				t.Errorf("%s: cut off: got %v want %v", name, got, x.want)
+			}
+			if cut := strings.Contains(log.String(), `msg="shutdown: cut off" program=registry step=second`); cut != x.want {
+				t.Errorf("%s: the log names the step: got %v want %v:\n%s", name, cut, x.want, log.String())
+			}
+		})
+	}
+}
