Failing race test: SIGHUP while a fleet policy comes into force

go test -race -run TestReloadWhileThePolicyIsEnforced ./internal/sidecar reports the write of the limits in Config.Reload against the read in policyEnforcer. Without -race it passes.

--- a/internal/membership/gossip/endpoints.go
+++ b/internal/membership/gossip/endpoints.go
@@ -16,7 +16,7 @@
 	changed := n.recordUnresponsive(endpoint, n.now())
 	n.mu.Unlock()
 	if changed {
-		n.broadcast(message{Kind: messageUnresponsive, Key: n.self.Key(), Endpoint: endpoint})
+		n.broadcast(message{Kind: messageUnresponsive, Key: n.Self().Key(), Endpoint: endpoint})
 		n.notifyChanged()
 	}
 }
--- a/internal/membership/gossip/join.go
+++ b/internal/membership/gossip/join.go
@@ -69,12 +69,12 @@
 	addresses := n.seedAddresses(ctx)
 	for len(addresses) > 0 && ctx.Err() == nil {
 		if n.exchangeViews(addresses) {
-			n.log.Info("members: joined", "name", n.self.Name, "members", n.Size())
+			n.log.Info("members: joined", "name", n.Self().Name, "members", n.Size())
 			return
 		}
 		addresses = addresses[min(len(addresses), joinBatch):]
 	}
-	n.log.Warn("members: no peer found yet, still trying", "name", n.self.Name)
+	n.log.Warn("members: no peer found yet, still trying", "name", n.Self().Name)
 }
 
 // reconnectLoop calls members that have missed something, until ctx ends, and saves the
--- a/internal/membership/gossip/lifecycle.go
+++ b/internal/membership/gossip/lifecycle.go
@@ -44,7 +44,7 @@
 
 func (n *Node) memberlistConfig(logger *log.Logger) *memberlist.Config {
 	c := memberlist.DefaultLANConfig()
-	c.Name, c.Label = n.self.Key(), labelPrefix+n.options.Config.Fleet
+	c.Name, c.Label = n.Self().Key(), labelPrefix+n.options.Config.Fleet
 	c.Logger = logger
 	c.TCPTimeout, c.GossipInterval, c.PushPullInterval = callTimeout, gossipInterval, pushPullInterval
 	c.ProbeInterval, c.ProbeTimeout = n.options.Config.ProbeInterval(), n.options.Config.ProbeInterval()/2
@@ -73,7 +73,7 @@
 	}
 	tasks.Go(func() { n.reconnectLoop(taskCtx) })
 	if laterKey := n.runRounds(ctx); laterKey != "" {
-		n.log.Error("members: replaced by a later process of the same name", "name", n.self.Name, "later", laterKey)
+		n.log.Error("members: replaced by a later process of the same name", "name", n.Self().Name, "later", laterKey)
 		stopTasks()
 		tasks.Wait()
 		if err := n.list.Load().Shutdown(); err != nil {
@@ -117,9 +117,9 @@
 		return nil
 	}
 	if n.options.Transport != nil {
-		return fmt.Errorf("membership: %s is there already, as %s", n.self.Name, latest.Key())
+		return fmt.Errorf("membership: %s is there already, as %s", n.Self().Name, latest.Key())
 	}
-	n.log.Error("members: taking a higher incarnation than another process of this name", "name", n.self.Name, "other", latest.Key())
+	n.log.Error("members: taking a higher incarnation than another process of this name", "name", n.Self().Name, "other", latest.Key())
 	if err := n.list.Load().Shutdown(); err != nil {
 		return fmt.Errorf("membership: %w", err)
 	}
--- a/internal/membership/gossip/processwatcher.go
+++ b/internal/membership/gossip/processwatcher.go
@@ -133,7 +133,7 @@
 	n.mu.Unlock()
 	if changed {
 		n.log.Info("members: local process ended", "member", key)
-		n.broadcast(message{Kind: messageEnded, Key: key, Observer: n.self.Key()})
+		n.broadcast(message{Kind: messageEnded, Key: key, Observer: n.Self().Key()})
 		n.notifyChanged()
 	}
 }
--- a/internal/membership/gossip/suspicion.go
+++ b/internal/membership/gossip/suspicion.go
@@ -33,7 +33,7 @@
 	n.mu.Unlock()
 	if changed {
 		n.log.Info("members: member suspected", "member", key)
-		n.broadcast(message{Kind: messageSuspect, Key: key, Observer: n.self.Key()})
+		n.broadcast(message{Kind: messageSuspect, Key: key, Observer: n.Self().Key()})
 		n.notifyChanged()
 	}
 }
--- a/internal/sidecar/fleet_policy.go
+++ b/internal/sidecar/fleet_policy.go
@@ -52,6 +52,10 @@
 	document *rollout.Document // in force; nil: the configuration counts alone
 }
 
+func newPolicyEnforcer(c *config.Config, l *eventLoop, listener *limitedListener, pool *upstream.Pool) *policyEnforcer {
+	return &policyEnforcer{config: c, loop: l, listener: listener, pool: pool}
+}
+
 // EnforcePolicy puts a document into force, and returns when it is.
 func (e *policyEnforcer) EnforcePolicy(ctx context.Context, d *rollout.Document) error {
 	e.mu.Lock()
--- /dev/null
+++ b/internal/sidecar/reload_race_test.go
@@ -0,0 +1,53 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"barleywick/internal/registry/client"
+	"barleywick/internal/rollout"
+	"barleywick/internal/sidecar/gate"
+	"barleywick/internal/sidecar/sidecartest"
+	"barleywick/internal/sidecar/upstream"
+)
+
+// What happens: the race detector reports a sidecar that gets SIGHUP while a fleet policy
+// comes into force, and the limits on connections in force may be mixed of the old file's and
+// the new one's. Why: the service writes the configuration's limits as it reads the file
+// again, and the policy follower's goroutine reads them as it applies a document; only the
+// reader held the lock.
+func TestReloadWhileThePolicyIsEnforced(t *testing.T) {
+	const rounds = 50
+	c := testConfig(t, options{}, "127.0.0.1:1")
+	c.Path = filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"discovery":"127.0.0.1:1","seed":"1","connections":{"clients":{"idle":1}},"settings":%s}`, fmt.Sprintf(testSettings, false, 500, "push"))
+	if err := os.WriteFile(c.Path, []byte(validJSON(t, text)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	loop, err := newEventLoop(c, testTransport(4, gate.New()), gate.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop.endLifetime() // nobody reads its events: only the limits on connections are applied
+	ln := sidecartest.ListenLoopback(t)
+	listener := newLimitedListener(ln, c.Connections.Clients)
+	defer listener.Close()
+	pool := upstream.NewPool(c.DialTimeout, c.UpstreamIdleTimeout, c.Connections.Servers, c.Seed)
+	defer pool.Close()
+	s := &service{config: c, enforcer: newPolicyEnforcer(c, loop, listener, pool)}
+	s.watcher = client.NewWatcher(client.WatcherOptions{Addrs: c.DiscoveryAddrs(), Deliver: func(client.ListUpdate) {}})
+	var enforcing sync.WaitGroup
+	enforcing.Go(func() {
+		for range rounds {
+			_ = s.enforcer.EnforcePolicy(context.Background(), &rollout.Document{MaxClientConnections: 10}) // the loop has ended
+		}
+	})
+	for range rounds {
+		s.handleReload()
+	}
+	enforcing.Wait()
+}
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -160,7 +160,7 @@
 	s.clientListener.gate = s.gate
 	s.loop.connections = s.clientListener
 	s.loop.counters = []counterLogger{s.clientListener, s.pool, s.gate}
-	s.enforcer = &policyEnforcer{config: s.config, loop: s.loop, listener: s.clientListener, pool: s.pool}
+	s.enforcer = newPolicyEnforcer(s.config, s.loop, s.clientListener, s.pool)
 	return nil
 }
 
