Sidecar: one lock for the limits on connections, of file and of policy

Symptom: a data race between SIGHUP and a fleet policy that comes into force. Cause: the policy enforcer read the configuration that the service writes when it reads the file again. The enforcer has its own copy now, which the service sets under its lock.

--- a/internal/sidecar/fleet_policy.go
+++ b/internal/sidecar/fleet_policy.go
@@ -41,19 +41,19 @@
 }
 
 // policyEnforcer applies the fleet policy to this sidecar: the stricter of policy and configuration
-// counts.
+// counts. The service tells it the configuration's limits, the policy follower the policy.
 type policyEnforcer struct {
-	config   *config.Config
 	loop     *eventLoop
 	listener *limitedListener
 	pool     *upstream.Pool
 
-	mu       sync.Mutex
-	document *rollout.Document // in force; nil: the configuration counts alone
+	mu         sync.Mutex
+	configured config.ConnectionLimits // of the configuration as it was read last
+	document   *rollout.Document       // in force; nil: the configuration counts alone
 }
 
 func newPolicyEnforcer(c *config.Config, l *eventLoop, listener *limitedListener, pool *upstream.Pool) *policyEnforcer {
-	return &policyEnforcer{config: c, loop: l, listener: listener, pool: pool}
+	return &policyEnforcer{configured: c.Connections, loop: l, listener: listener, pool: pool}
 }
 
 // EnforcePolicy puts a document into force, and returns when it is.
@@ -65,15 +65,16 @@
 	return e.loop.applyFleetPolicy(ctx, d)
 }
 
-// applyConnectionLimits puts the limits on connections into force, as the configuration has them now.
-func (e *policyEnforcer) applyConnectionLimits() {
+// configureLimits puts the limits on connections of a configuration that was read again into force.
+func (e *policyEnforcer) configureLimits(limits config.ConnectionLimits) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.configured = limits
 	e.applyConnectionLimitsLocked()
 }
 
 func (e *policyEnforcer) applyConnectionLimitsLocked() {
-	limits := e.config.Connections.WithinPolicy(e.document)
+	limits := e.configured.WithinPolicy(e.document)
 	e.listener.setLimits(limits.Clients)
 	e.pool.SetLimits(limits.Servers)
 }
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -407,7 +407,7 @@
 		slog.Error("configuration: reload failed, nothing changed", "err", err)
 		return
 	}
-	s.enforcer.applyConnectionLimits()
+	s.enforcer.configureLimits(s.config.Connections)
 	if now := s.config.DiscoveryAddrs(); !slices.Equal(now, before) {
 		s.watcher.SetAddrs(now)
 	}
