Tests: the sidecar's tests print the longest stall of their process when they fail

TestUnresponsiveServerIsAnsweredBeforeTheDeadline: stopped by SIGSTOP for 0.25 s at 0.30, 0.36 and 0.40 s after its start it gives 504 after 0.55, 0.61 and 0.65 s and names a stall of 0.25 s; at 0.02 to 0.2 s it passes. The failure seen was 0.63 s.

--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -19,6 +19,7 @@
 	"barleywick/internal/sidecar/gate"
 	"barleywick/internal/sidecar/sidecartest"
 	"barleywick/internal/sidecar/upstream"
+	"barleywick/internal/testing/wait"
 )
 
 // testSettings has one class for each kind of idempotency, and two tenants.
@@ -80,6 +81,7 @@
 		set(&o)
 	}
 	done := make(chan error, 1)
+	stalls := wait.WatchStalls() // the sidecar runs in the test's process
 	var wg sync.WaitGroup
 	wg.Add(1)
 	go func() {
@@ -89,6 +91,10 @@
 	t.Cleanup(func() {
 		cancel()
 		wg.Wait()
+		stalls.Stop()
+		if t.Failed() {
+			t.Logf("the longest time in which this process was not scheduled: %v", stalls.Longest())
+		}
 	})
 	return ln.Addr().String(), cancel, done
 }
