--- a/internal/registry/client/watcher_test.go
+++ b/internal/registry/client/watcher_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -283,3 +285,53 @@
 		t.Error("the watch was opened at once")
 	}
 }
+
+// What happens: a sidecar knows a change of the list only when its process starts again. Why:
+// its watch had to take a replica that says it is stale, as the others could not be reached
+// for a moment. The replica's disk stays full for hours, its watch stays open with a
+// heartbeat every 2 s, and the watcher stays with it although the others are back: a server
+// that drains goes on getting requests. By the protocol all that discovery knows counts as
+// told 6 s after it can be reached.
+func TestStaleReplicaIsLeftOnceAnotherIsBack(t *testing.T) {
+	const toldBound = 6 * time.Second
+	var back atomic.Bool
+	serve := func(read string, seq int, reachable func() bool) *httptest.Server {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			if !reachable() {
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set(registry.ReadHeader, read)
+			fmt.Fprintln(w, registrytest.ListJSON(seq, true))
+			for q.URL.Query().Get("watch") != "" && q.Context().Err() == nil {
+				fmt.Fprintln(w) // a heartbeat
+				w.(http.Flusher).Flush()
+				time.Sleep(time.Second / 2)
+			}
+		}))
+		t.Cleanup(server.Close)
+		return server
+	}
+	current := serve(registry.ReadCurrent+"; age_ms=1", 9, back.Load)
+	stale := serve(registry.ReadStale+"; age_ms=9000", 7, func() bool { return true })
+	updates := make(chan ListUpdate, 100)
+	w := NewWatcher(WatcherOptions{Addrs: []string{current.Listener.Addr().String(), stale.Listener.Addr().String()}, Deliver: func(l ListUpdate) { updates <- l }})
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	done.Go(func() { w.Follow(ctx) })
+	defer done.Wait()
+	defer cancel()
+	if got := await(t, "the stale list", updates); got.Seq != 7 {
+		t.Fatalf("got version %d first, want 7", got.Seq)
+	}
+	back.Store(true)
+	for deadline := time.After(toldBound); ; {
+		select {
+		case l := <-updates:
+			if l.Seq == 9 {
+				return
+			}
+		case <-deadline:
+			t.Fatalf("%v after the other replica was back, its list has not come", toldBound)
+		}
+	}
+}
