Registry client: a watch at a stale replica lasts 2 s where there are others

Symptom: a sidecar that had to take a stale replica for a moment stayed with it as long as that replica sent heartbeats, and was told of no change. Cause: freshness was read once, as the watch began. Now such a watch ends after 2 s and the other replicas are asked first.

--- a/internal/registry/client/list_loss.go
+++ b/internal/registry/client/list_loss.go
@@ -37,8 +37,8 @@
 	errGap = errors.New("gap in the list")
 	// errUpdateTooLong says that an update is longer than any list is.
 	errUpdateTooLong = fmt.Errorf("%w: over %d bytes", errGap, maxUpdateBytes)
-	// errStale says that the replica has no leader: another one may know more.
-	errStale = errors.New("the replica has no leader")
+	// errStale says that the replica's list is stale: another one may know more.
+	errStale = errors.New("the replica's list is stale")
 	// errAddrsChanged ends a watch at addresses that are no longer the service's.
 	errAddrsChanged = errors.New("addresses changed")
 )
--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -18,7 +18,11 @@
 const (
 	// watchTimeout ends a watch on which nothing arrives: without changes an empty line is
 	// due every 2 s.
-	watchTimeout   = 3 * time.Second
+	watchTimeout = 3 * time.Second
+	// staleWatchTime is how long a watch at a stale replica lasts where there are others:
+	// then they are asked again. Together with a call that is not answered (watchTimeout) it
+	// is under the 6 s after which a change counts as notified.
+	staleWatchTime = 2 * time.Second
 	maxUpdateBytes = 4 << 20
 )
 
@@ -45,11 +49,14 @@
 		}
 		timeout.Reset(watchTimeout) // the watch has its own time, however long the call took
 	}
-	body, err := w.open(ctx, w.url()+"?watch=1&from="+strconv.FormatUint(w.seq, 10), acceptStale)
+	body, stale, err := w.open(ctx, w.url()+"?watch=1&from="+strconv.FormatUint(w.seq, 10), acceptStale)
 	if err != nil {
 		return received, err
 	}
 	defer body.Close()
+	if stale && len(w.addrs) > 1 {
+		defer time.AfterFunc(staleWatchTime, func() { cancel(errStale) }).Stop()
+	}
 	return w.readUpdates(body, received, func() { timeout.Reset(watchTimeout) })
 }
 
@@ -103,7 +110,7 @@
 
 // fetchFullList calls for the full list and delivers it.
 func (w *Watcher) fetchFullList(ctx context.Context, acceptStale bool) error {
-	body, err := w.open(ctx, w.url(), acceptStale)
+	body, _, err := w.open(ctx, w.url(), acceptStale)
 	if err != nil {
 		return err
 	}
@@ -115,25 +122,26 @@
 	return w.handleUpdate(text)
 }
 
-// open makes a call and returns the body of its response.
-func (w *Watcher) open(ctx context.Context, url string, acceptStale bool) (io.ReadCloser, error) {
+// open makes a call and returns the body of its response, and whether that is stale.
+func (w *Watcher) open(ctx context.Context, url string, acceptStale bool) (body io.ReadCloser, stale bool, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	resp, err := w.client.Do(req)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	if resp.StatusCode != http.StatusOK {
 		resp.Body.Close()
-		return nil, fmt.Errorf("status %d", resp.StatusCode)
+		return nil, false, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	if !acceptStale && strings.HasPrefix(resp.Header.Get(registry.ReadHeader), registry.ReadStale) {
+	stale = strings.HasPrefix(resp.Header.Get(registry.ReadHeader), registry.ReadStale)
+	if stale && !acceptStale {
 		resp.Body.Close()
-		return nil, errStale
+		return nil, true, errStale
 	}
-	return resp.Body, nil
+	return resp.Body, stale, nil
 }
 
 // handleUpdate delivers one update. Changes apply in order, and only to the list that they
