--- /dev/null
+++ b/internal/registry/client/stale_answer_test.go
@@ -0,0 +1,49 @@
+package client
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"barleywick/internal/registry"
+)
+
+// What happens: a controller, a sidecar's policy follower or fleetctl reads leases and the
+// fleet policy as they were hours ago. Why: the client goes on asking the replica that
+// answered last, and takes an answer that says stale like any other. It has to ask the
+// other replicas first, and take the stale answer only if none has a better one.
+func TestStaleAnswersAreTheLastResort(t *testing.T) {
+	serve := func(read string, version int) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(registry.ReadHeader, read)
+			fmt.Fprintf(w, `{"version":%d,"leases":[]}`, version)
+		}))
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	}
+	stale, current := serve(registry.ReadStale+"; age_ms=9000", 7), serve(registry.ReadCurrent+"; age_ms=1", 9)
+	const unreachable = "127.0.0.1:1"
+	for name, x := range map[string]struct {
+		addrs []string
+		want  uint64
+	}{
+		"one is current":        {[]string{stale, current}, 9},
+		"the only one":          {[]string{stale}, 7},
+		"stale or out of reach": {[]string{stale, unreachable}, 7},
+	} {
+		for seed := range uint64(4) { // each begins at another address
+			c, err := New(x.addrs, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for range 3 {
+				got, err := c.Leases(t.Context(), 0, 0)
+				if err != nil || got.Version != x.want {
+					t.Errorf("%s, seed %d: got version %d, error %v; want %d", name, seed, got.Version, err, x.want)
+				}
+			}
+			c.Close()
+		}
+	}
+}
