Registry client: stale answers are taken only if no replica has a better one

Cause: the client preferred the replica that answered last, and did not look at how fresh its answer is; leases and the fleet policy were read as of hours ago.

--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -117,8 +117,12 @@
 	}
 	var lastErr error
 	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		var kept *staleAnswer
 		for _, addr := range c.replicaOrder() {
 			answered, err := c.callReplica(ctx, addr, call)
+			if errors.As(err, &kept) {
+				continue // another replica may know more
+			}
 			var refusal *Error
 			if err == nil || errors.As(err, &refusal) {
 				c.prefer(answered)
@@ -129,6 +133,9 @@
 			}
 		}
 		c.prefer("")
+		if kept != nil {
+			return call.decode(kept.addr, kept.text)
+		}
 		select {
 		case <-time.After(c.jitter(backoff)):
 		case <-ctx.Done():
@@ -177,6 +184,8 @@
 		switch {
 		case err != nil:
 			return addr, err
+		case resp.StatusCode == http.StatusOK && isStale(resp):
+			return addr, &staleAnswer{addr, text}
 		case resp.StatusCode == http.StatusOK:
 			return addr, call.decode(addr, text)
 		case resp.StatusCode != http.StatusTemporaryRedirect:
@@ -191,6 +200,20 @@
 	return addr, fmt.Errorf("%s: more than %d redirects", addr, maxRedirects)
 }
 
+// staleAnswer is a good answer of a replica that says it may be of any age.
+type staleAnswer struct {
+	addr string
+	text []byte
+}
+
+// Error says which replica's answer it is.
+func (a *staleAnswer) Error() string { return a.addr + ": the answer is stale" }
+
+// isStale reports whether a response says that it may be of any age.
+func isStale(resp *http.Response) bool {
+	return strings.HasPrefix(resp.Header.Get(registry.ReadHeader), registry.ReadStale)
+}
+
 // send sends one request and reads its response whole.
 func (c *Client) send(ctx context.Context, addr string, call apiCall) (*http.Response, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, call.method, "http://"+addr+registry.APIPath+call.path, bytes.NewReader(call.body))
--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -9,10 +9,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
-
-	"barleywick/internal/registry"
 )
 
 const (
@@ -136,7 +133,7 @@
 		resp.Body.Close()
 		return nil, false, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	stale = strings.HasPrefix(resp.Header.Get(registry.ReadHeader), registry.ReadStale)
+	stale = isStale(resp)
 	if stale && !acceptStale {
 		resp.Body.Close()
 		return nil, true, errStale
