Drains: one whose deadline passed while no controller ran is undone

Symptom: its servers stayed marked for good, and every 5 s drain: failed said that no replica of the registry answers. Cause: drainUntil gave the drain a context that had ended before the first call; only a drain that was claimed within its context is undone. The deadline is now compared with the workflow's clock first, and a drain that has none left is undone.

--- a/internal/drain/handover.go
+++ b/internal/drain/handover.go
@@ -87,12 +87,18 @@
 	return err
 }
 
-// drainUntil drains the machine within the drain's deadline, where it has one.
+// drainUntil drains the machine within the drain's deadline, where it has one. A drain whose
+// deadline passed while no controller ran is undone at once. The deadline is of the wall clock:
+// it is compared with that once, and the time that is left is measured by the monotonic one.
 func (w *Workflow) drainUntil(ctx context.Context, d Drain) error {
-	if d.Step.canTimeOut() && d.DeadlineMS != 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, time.UnixMilli(d.DeadlineMS))
-		defer cancel()
+	if !d.Step.canTimeOut() || d.DeadlineMS == 0 {
+		return w.Drain(ctx, d.Machine)
 	}
+	left := time.UnixMilli(d.DeadlineMS).Sub(w.Now())
+	if left <= 0 {
+		return w.undoAfterTimeout(ctx, d.Machine, d.Step)
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
 	return w.Drain(ctx, d.Machine)
 }
