--- a/internal/sidecar/gate/gate_test.go
+++ b/internal/sidecar/gate/gate_test.go
@@ -1,8 +1,11 @@
 package gate
 
 import (
+	"bytes"
+	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,3 +83,19 @@
 		t.Errorf("violations: got %q, want %q", got, want)
 	}
 }
+
+// What happens: where the log's format is JSON, a broken rule is logged with the numbers of the
+// rule and of the reason, which mean nothing to who is on call. Why: the JSON handler of the
+// standard library does not ask a value for its text.
+func TestViolationIsLoggedInWords(t *testing.T) {
+	var log bytes.Buffer
+	defer slog.SetDefault(slog.Default())
+	slog.SetDefault(slog.New(slog.NewJSONHandler(&log, nil)))
+	now := time.Now()
+	New().CheckAnswered(now, now.Add(2*stallAllowance), "late")
+	for _, want := range []string{`"rule":"not done in time"`, `"why":"`} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("the log is %s, want %s in it", log.String(), want)
+		}
+	}
+}
