Answers that mislead, four of them; every program's end has a bound

- settings: what follows the first JSON value is an error (was passed over)
- gate: rule violated names rule and reason in words in JSON logs, too (were numbers)
- policy: epoch N cannot be acted by here names the true epoch (was always 0)

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -10,13 +10,19 @@
 	"os/signal"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"barleywick/internal/cli"
 	"barleywick/internal/controller"
+	"barleywick/internal/shutdown"
 )
 
+// endBound is how long a controller may take to end: it hands its tasks over, each with a call of the
+// registry, and leaves the fleet.
+const endBound = 20 * time.Second
+
 func main() {
 	cli.WarnFormerProgram(os.Stderr, os.Args[0], "barleykeeper", "controller")
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -52,6 +58,7 @@
 				return err
 			}
 			slog.SetDefault(slog.New(slog.NewTextHandler(c.ErrOrStderr(), &slog.HandlerOptions{Level: l})))
+			defer shutdown.Guard(c.Context(), "controller", endBound)()
 			return controller.Serve(c.Context(), cfg)
 		},
 	}
--- a/cmd/fleetctl/main.go
+++ b/cmd/fleetctl/main.go
@@ -18,6 +18,7 @@
 	"barleywick/internal/cli"
 	"barleywick/internal/drain"
 	"barleywick/internal/registry/client"
+	"barleywick/internal/shutdown"
 )
 
 // Exit statuses.
@@ -34,12 +35,17 @@
 	pollEvery      = 200 * time.Millisecond
 	// callTimeout bounds a call that reads or writes a single thing.
 	callTimeout = 15 * time.Second
+	// endBound is how long an interrupted command may take to end: it undoes its drain, which
+	// lasts as long as the drain's claim at most.
+	endBound = time.Minute
 )
 
 func main() {
 	cli.WarnFormerProgram(os.Stderr, os.Args[0], "barleyctl", "fleetctl")
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ended := shutdown.Guard(stop, "fleetctl", endBound)
 	status := run(stop, os.Args[1:], os.Getenv, os.Stdout, os.Stderr)
+	ended()
 	cancel()
 	os.Exit(status)
 }
--- a/cmd/testbench/main.go
+++ b/cmd/testbench/main.go
@@ -7,16 +7,24 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"barleywick/internal/cli"
+	"barleywick/internal/shutdown"
 )
 
+// endBound is how long an interrupted run may take to end: it ends the processes that it has started and
+// writes what it has seen.
+const endBound = 3 * time.Minute
+
 func main() {
 	cli.WarnFormerProgram(os.Stderr, os.Args[0], "barleylab", "testbench")
 	stop, done := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ended := shutdown.Guard(stop, "testbench", endBound)
 	status := cli.Run(stop, "testbench", newRoot(), os.Args[1:], os.Stdout, os.Stderr)
+	ended()
 	done()
 	os.Exit(status)
 }
--- a/internal/overload/aggregate_test.go
+++ b/internal/overload/aggregate_test.go
@@ -16,7 +16,7 @@
 		p := NewPlanner("test", 1)
 		for i := range sidecars {
 			d := Digest{
-				Fleet: "test", Name: fmt.Sprint("n", i), Incarnation: 1, Seq: 1, PeriodMS: int64(700 + 37*i), Congestion: 0.1 + float64(i)/3,
+				Fleet: "test", Name: fmt.Sprint("n", i), Incarnation: 1, Seq: 1, PeriodMS: int64(700 + 37*i), Congestion: 1 / float64(i+3),
 				Tenants: []TenantCounts{{Tenant: "acme", Quota: 1, Requests: uint64(3 + i), InTime: uint64(2 + i), Late: 1}},
 			}
 			if err := p.AddDigest(time.Second, d); err != nil {
--- a/internal/overload/planner.go
+++ b/internal/overload/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -110,11 +111,13 @@
 	requestRate float64
 }
 
-// aggregate adds up the digests that are recent enough, and forgets the others.
+// aggregate adds up the digests that are recent enough, and forgets the others. It adds them in
+// the order of their names: sums of floating-point values depend on the order.
 func (p *Planner) aggregate(now time.Duration) fleetLoad {
 	var load fleetLoad
 	index := make(map[string]int) // of load.tenants, by name
-	for name, report := range p.sidecars {
+	for _, name := range slices.Sorted(maps.Keys(p.sidecars)) {
+		report := p.sidecars[name]
 		if now-report.receivedAt > AdviceTTL {
 			delete(p.sidecars, name)
 			continue
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,7 +6,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"math"
 	"slices"
@@ -76,6 +78,9 @@
 	if err := d.Decode(&root); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("settings: something follows the object")
+	}
 	s := newSettings()
 	for key, v := range root {
 		s.flatten(key, v)
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -4,6 +4,7 @@
 package shutdown
 
 import (
+	"context"
 	"log/slog"
 	"os"
 	"runtime"
@@ -35,6 +36,18 @@
 	return begin(program, bound, os.Exit)
 }
 
+// Guard bounds the end of a program that is to end once ctx is done. The caller calls ended
+// when it has.
+func Guard(ctx context.Context, program string, bound time.Duration) (ended func()) {
+	begun := make(chan *Sequence, 1)
+	stop := context.AfterFunc(ctx, func() { begun <- Begin(program, bound) })
+	return func() {
+		if !stop() {
+			(<-begun).End()
+		}
+	}
+}
+
 func begin(program string, bound time.Duration, exit func(status int)) *Sequence {
 	s := &Sequence{program: program, bound: bound, begun: time.Now(), exit: exit}
 	s.timer = time.AfterFunc(bound, s.cutOff)
--- a/internal/sidecar/gate/gate.go
+++ b/internal/sidecar/gate/gate.go
@@ -141,5 +141,5 @@
 // recordViolation counts and logs a broken rule. of is the request or the client that it concerns.
 func (g *Gate) recordViolation(v violation, of string, denial policy.Denial) {
 	g.violations[v].Add(1)
-	slog.Error("gate: rule violated", "rule", v, "of", of, "why", denial)
+	slog.Error("gate: rule violated", "rule", v.String(), "of", of, "why", denial.String())
 }
--- a/internal/sidecar/policyfollower/follower.go
+++ b/internal/sidecar/policyfollower/follower.go
@@ -169,10 +169,11 @@
 	f.mu.Lock()
 	unsupported := f.state.Fatal()
 	active, ok := f.state.Active()
+	epoch, _, _ := f.state.Summary()
 	f.mu.Unlock()
 	if unsupported != nil {
 		f.leaveRoster(ctx)
-		return fmt.Errorf("policy: epoch %d cannot be acted by here: %w", active.Epoch, unsupported)
+		return fmt.Errorf("policy: epoch %d cannot be acted by here: %w", epoch, unsupported)
 	}
 	if !ok {
 		f.stopAdmitting()
--- a/internal/sidecarcmd/command.go
+++ b/internal/sidecarcmd/command.go
@@ -14,13 +14,16 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"barleywick/internal/sidecar/config"
 
 	"github.com/spf13/cobra"
 
 	"barleywick/internal/cli"
+	"barleywick/internal/shutdown"
 	"barleywick/internal/sidecar"
+	"barleywick/policy"
 )
 
 // Program describes one of the two programs. Its parts are constructors, because each part takes memory
@@ -33,6 +36,20 @@
 	NewMember   func(*config.Config) sidecar.FleetMember // makes a sidecar a member of the fleet
 }
 
+// farewellTime is for what a sidecar does once every request is answered: it leaves the roster and
+// the fleet, and ends its calls of the registry. A platform that kills it earlier cuts off no request.
+const farewellTime = 10 * time.Second
+
+// endBound is how long a sidecar may take to end. A request that it has taken has its client's whole
+// time, however long that is.
+func endBound(classes []policy.Class) time.Duration {
+	bound := policy.ShutdownTimeout(classes)
+	for _, class := range classes {
+		bound = max(bound, class.Deadline)
+	}
+	return bound + farewellTime
+}
+
 // Main runs the program with its command line and exits with the status that follows.
 func Main(parts Program) {
 	cli.WarnFormerProgram(os.Stderr, os.Args[0], parts.FormerName, parts.Name)
@@ -134,6 +151,7 @@
 		}
 		options = append(options, sidecar.WithMetrics(parts.NewExporter()))
 	}
+	defer shutdown.Guard(stop, "sidecar", endBound(c.Policy.Classes))()
 	return sidecar.Run(stop, reload, c, options...)
 }
 
