Registry client: a stale list does not take the place of a later one

Symptom: after SIGHUP while discovery is down, a sidecar sent to a server of whose drain it had been told. Cause: a change of addresses asks for a full list, and the list of a stale replica, older than the one that was held, was taken as the last resort. Its version is compared now.

--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -138,17 +138,23 @@
 		resp.Body.Close()
 		return nil, true, errStale
 	}
+	w.readsStale = stale
 	return resp.Body, stale, nil
 }
 
 // handleUpdate delivers one update. Changes apply in order, and only to the list that they
-// follow; of a version that the watcher has already, the changes are left out.
+// follow; of a version that the watcher has already, the changes are left out. A stale list
+// does not take the place of a later one, whichever addresses that came from: what it told
+// must not be forgotten. No two groups of replicas share versions, and a later group's are
+// later.
 func (w *Watcher) handleUpdate(text []byte) error {
 	u, err := parseUpdate(text)
 	if err != nil {
 		return err
 	}
 	switch {
+	case u.Full && w.readsStale && u.Seq < w.seq:
+		return fmt.Errorf("%w: it is of version %d, held is %d", errStale, u.Seq, w.seq)
 	case u.Full:
 	case !w.hasList || u.Seq < w.seq:
 		return fmt.Errorf("%w: change to version %d, held is %d", errGap, u.Seq, w.seq)
--- a/internal/registry/client/watcher.go
+++ b/internal/registry/client/watcher.go
@@ -51,6 +51,7 @@
 	lastMessage time.Time // when the last update or heartbeat arrived
 	hasList     bool      // changes may apply to a list that was delivered
 	seq         uint64    // the version of that list
+	readsStale  bool      // the answer that is read says that it is stale
 
 	addrChanges chan []string // new addresses that Follow has not taken yet: the latest only
 }
