--- a/internal/rollout/canary_test.go
+++ b/internal/rollout/canary_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -63,3 +64,52 @@
 		})
 	}
 }
+
+// What happens: an operator reads that a change was aborted as its canaries had too few requests,
+// and tries again with a longer time, although they had enough. Why: the leader compares them
+// only before the change's deadline; where no controller ran until after it, the abort gave
+// the one reason that it knew.
+func TestAbortOfCanariesAtTheDeadlineSaysWhy(t *testing.T) {
+	for name, x := range map[string]struct {
+		requests, refused uint64 // of each canary
+		by, reason        string
+	}{
+		"too few":         {10, 0, byDeadline, "too few requests"},
+		"enough, as good": {1000, 20, byDeadline, "were not compared in time"},
+		"enough, worse":   {1000, 500, byCanaries, "ended badly"},
+	} {
+		const members = 4
+		h := newHarness(t, members)
+		h.propose(document(4), 0.5)
+		h.ackAll(members)
+		h.advance()
+		h.ackAll(members)
+		change := h.state.change
+		for _, counts := range []RequestCounts{{}, {Requests: x.requests, Refused: x.refused}} {
+			for i := range members {
+				reported := counts
+				if !slices.Contains(change.Canaries, h.member(i).Name) {
+					reported.Refused = min(counts.Refused, 20)
+				}
+				h.mustApply(Command{Op: OpReport, Member: h.member(i), ChangeNumber: change.Number, Counts: reported})
+			}
+		}
+		c, any := Decide(h.state.Status(), change.DeadlineMS)
+		if !any || c.Op != OpAbort || c.By != x.by || !strings.Contains(c.Reason, x.reason) {
+			t.Errorf("%s: got %s by %q: %q, want it aborted by %q as %q", name, c.Op, c.By, c.Reason, x.by, x.reason)
+		}
+	}
+}
+
+// What happens: after 1,024 different sidecars were evicted, every further eviction is refused as
+// full, and a rollout waits for ever for a sidecar whose machine is gone. Why: no evicted name
+// is ever forgotten, also where nothing of it is left.
+func TestEvictionsDoNotFillUp(t *testing.T) {
+	h := newHarness(t, 0)
+	for i := range maxEvicted + 10 {
+		h.mustApply(Command{Op: OpJoin, Member: h.member(i)})
+		if err := h.apply(Command{Op: OpEvict, Member: h.member(i)}); err != nil {
+			t.Fatalf("eviction %d: %v", i+1, err)
+		}
+	}
+}
