--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -56,12 +56,22 @@
 	return Command{Op: OpAdvance, ChangeNumber: s.Change.Number, Stage: s.Stage}
 }
 
+// abortAtDeadline aborts a change whose time is up, and says what it lacked.
 func abortAtDeadline(s Status) Command {
-	reason := "not confirmed by " + listNames(s.WaitingFor)
-	if len(s.WaitingFor) == 0 {
-		reason = "too few requests at those that went ahead to compare them"
+	abort := Command{Op: OpAbort, ChangeNumber: s.Change.Number, By: byDeadline}
+	if len(s.WaitingFor) > 0 {
+		abort.Reason = "not confirmed by " + listNames(s.WaitingFor)
+		return abort
 	}
-	return Command{Op: OpAbort, ChangeNumber: s.Change.Number, By: byDeadline, Reason: reason}
+	switch worse, enough := CompareCanaries(s); {
+	case worse != "":
+		abort.By, abort.Reason = byCanaries, worse
+	case enough:
+		abort.Reason = "those that went ahead were as good as the others, and were not compared in time"
+	default:
+		abort.Reason = "too few requests at those that went ahead to compare them"
+	}
+	return abort
 }
 
 // leaveOfUnresponsiveMember takes silence for leaving, which no build but a mutation does.
