Controller: SIGHUP does not end it

Symptom: SIGHUP killed a controller on the spot, its tasks were nobody's until their leases ended. Cause: nobody had asked for the signal. The log says now that the file is not read again.

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -31,6 +31,25 @@
 	os.Exit(status)
 }
 
+// refuseReloads says at each SIGHUP that the file is not read again, where the signal would end the
+// process. The returned function stops that.
+func refuseReloads() (stop func()) {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	stopped := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-reload:
+				slog.Warn("controller: file not read again, start the process anew")
+			case <-stopped:
+				return
+			}
+		}
+	}()
+	return func() { close(stopped) } // the signal stays caught until the process has ended
+}
+
 func newRoot(getenv func(string) string, errs io.Writer) *cobra.Command {
 	var level string
 	path := cli.LookupEnv(getenv, errs, "CONTROLLER_CONFIG", "BARLEYKEEPER_CONFIG")
@@ -59,6 +78,7 @@
 			}
 			slog.SetDefault(slog.New(slog.NewTextHandler(c.ErrOrStderr(), &slog.HandlerOptions{Level: l})))
 			defer shutdown.Guard(c.Context(), "controller", endBound)()
+			defer refuseReloads()()
 			return controller.Serve(c.Context(), cfg)
 		},
 	}
