--- /dev/null
+++ b/internal/mutation/end_before_answers_off.go
@@ -0,0 +1,6 @@
+//go:build !mutation_end_before_answers
+
+package mutation
+
+// EndBeforeAnswers lets a sidecar end before its requests are answered.
+const EndBeforeAnswers = false
--- /dev/null
+++ b/internal/mutation/end_on_reload_in_shutdown_on.go
@@ -0,0 +1,6 @@
+//go:build mutation_end_on_reload_in_shutdown
+
+package mutation
+
+// EndOnReloadInShutdown lets SIGHUP end a sidecar that is shutting down.
+const EndOnReloadInShutdown = true
--- /dev/null
+++ b/internal/mutation/keep_idle_at_shutdown_on.go
@@ -0,0 +1,6 @@
+//go:build mutation_keep_idle_at_shutdown
+
+package mutation
+
+// KeepIdleAtShutdown leaves idle client connections open when a sidecar is told to end.
+const KeepIdleAtShutdown = true
--- /dev/null
+++ b/internal/mutation/take_stale_lists_off.go
@@ -0,0 +1,6 @@
+//go:build !mutation_take_stale_lists
+
+package mutation
+
+// TakeStaleLists lets a stale endpoint list take the place of a later one.
+const TakeStaleLists = false
--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"barleywick/internal/mutation"
 	"context"
 	"encoding/json"
 	"errors"
@@ -150,7 +151,9 @@
 		return err
 	}
 	switch {
-	case u.Full && w.readsStale && u.Seq < w.seq:
+	case mutation.IgnoreListChanges && w.seq != 0:
+		return nil
+	case u.Full && w.readsStale && u.Seq < w.seq && !mutation.TakeStaleLists:
 		return fmt.Errorf("%w: it is of version %d, held is %d", errStale, u.Seq, w.seq)
 	case u.Full:
 	case !w.hasList || u.Seq < w.seq:
--- a/internal/registry/client/watcher.go
+++ b/internal/registry/client/watcher.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"barleywick/internal/mutation"
 	"barleywick/internal/registry"
 )
 
@@ -162,6 +163,10 @@
 		s.callNow = true
 		return
 	}
+	if mutation.StayOnEndedWatch {
+		<-ctx.Done()
+		return
+	}
 	w.useNextReplica()
 	if w.options.Polls != nil {
 		w.reportLoss(err, s.moved)
--- a/internal/sidecar/client_conn_close.go
+++ b/internal/sidecar/client_conn_close.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"barleywick/internal/mutation"
 	"barleywick/policy"
 )
 
@@ -38,7 +39,7 @@
 		<-refusalSent // refusePartial closes it
 		return nil
 	}
-	if facts.Decide() != policy.Allowed {
+	if facts.Decide() != policy.Allowed && !mutation.CloseWithoutAnswer {
 		response := refusedResponse
 		if busy {
 			response = failedResponse // it may have run
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"barleywick/internal/mutation"
 	"barleywick/internal/overload"
 	"barleywick/internal/registry/client"
 	"barleywick/internal/sidecar/outcome"
@@ -71,6 +72,9 @@
 	}
 	l.closeRequest(r)
 	l.observers.requestEnded(r, outcome.ClientVanished)
+	if mutation.IgnoreClientEnd {
+		return
+	}
 	l.balancer.ClientGone(l.clock.now, r.id)
 }
 
--- a/internal/sidecar/gate/gate.go
+++ b/internal/sidecar/gate/gate.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"barleywick/internal/mutation"
 	"barleywick/policy"
 )
 
@@ -78,6 +79,9 @@
 
 // Shutdown records that the process was told to end now and has to be done within timeout.
 func (g *Gate) Shutdown(timeout time.Duration) {
+	if mutation.IgnoreShutdownDeadline {
+		return
+	}
 	now := g.SinceStart(time.Now())
 	g.lateFrom.Store(int64(now + lateRequestAfter))
 	g.shutdownDeadline.Store(int64(now + timeout))
@@ -102,6 +106,9 @@
 // MaySend decides whether an attempt may be sent now, on the facts given.
 func (g *Gate) MaySend(facts policy.SendFacts, now time.Time) policy.Denial {
 	facts.Now = g.SinceStart(now)
+	if mutation.SkipSendGate {
+		return policy.Allowed
+	}
 	return g.record(actionSend, facts.Decide())
 }
 
@@ -115,6 +122,9 @@
 
 // MayClose decides whether a client connection may be closed.
 func (g *Gate) MayClose(facts policy.CloseFacts) policy.Denial {
+	if mutation.SkipCloseGate {
+		return policy.Allowed
+	}
 	return g.record(actionClose, facts.Decide())
 }
 
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"barleywick/internal/mutation"
 	"barleywick/internal/registry/client"
 	"barleywick/internal/sidecar/config"
 	"barleywick/internal/sidecar/gate"
@@ -402,6 +403,9 @@
 // handleReload reads the configuration again. It does so also while the process drains: discovery
 // may move while requests are still to be answered.
 func (s *service) handleReload() {
+	if mutation.EndOnReloadInShutdown && s.shutdown.signalled.Load() {
+		os.Exit(0)
+	}
 	before := s.config.DiscoveryAddrs()
 	if err := s.config.Reload(); err != nil {
 		slog.Error("configuration: reload failed, nothing changed", "err", err)
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"barleywick/internal/mutation"
 	"barleywick/internal/sidecar/gate"
 )
 
@@ -74,12 +75,16 @@
 	}
 	s.gate.Shutdown(s.timeout)
 	slog.Info("drain: shutdown requested", "answered_within", s.timeout)
-	time.AfterFunc(s.timeout, s.listener.closeUnused)
+	if !mutation.SkipCloseUnused {
+		time.AfterFunc(s.timeout, s.listener.closeUnused)
+	}
 	if s.phase() != phaseServing {
 		return // handOver was called before
 	}
 	s.begunAt = time.Now()
-	s.listener.drain() // before the listener is closed: no idle connection may get a request after that
+	if !mutation.KeepIdleAtShutdown {
+		s.listener.drain() // before the listener is closed: no idle connection may get a request after that
+	}
 	s.enter(phaseDraining)
 	time.AfterFunc(lateArrivalTime, func() { close(s.arrivalsOver) })
 }
@@ -106,6 +111,9 @@
 	case phaseDraining:
 		return s.arrivalsOver
 	case phaseFinishing:
+		if mutation.EndBeforeAnswers {
+			return s.arrivalsOver
+		}
 		return s.listener.allEnded
 	}
 	return nil
--- a/internal/sidecar/upstream/attempt.go
+++ b/internal/sidecar/upstream/attempt.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"time"
 
+	"barleywick/internal/mutation"
 	"barleywick/internal/sidecar/httpmessage"
 	"barleywick/policy"
 )
@@ -106,7 +107,7 @@
 	if deadline, ok := p.writeCtx.Deadline(); ok { // the timer that ends the context may be late, the clock is not
 		f.ClientDeadline = min(f.ClientDeadline, gate.SinceStart(deadline))
 	}
-	f.ClientGone = p.client != nil && p.client.ClosedByClient()
+	f.ClientGone = p.client != nil && p.client.ClosedByClient() && !mutation.IgnoreClientEnd
 	return f
 }
 
--- a/internal/sidecar/upstream/transport.go
+++ b/internal/sidecar/upstream/transport.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"barleywick/internal/mutation"
 	"barleywick/internal/settings"
 	"barleywick/policy"
 )
@@ -144,7 +145,7 @@
 		if x.resp, x.body, err = b.readResponse(req); err != nil {
 			return x, fmt.Errorf("read response: %w", err)
 		}
-		if x.resp.StatusCode != http.StatusOK || !t.pool.isDuplicate(c, x.body) {
+		if x.resp.StatusCode != http.StatusOK || mutation.AcceptDuplicateResponses || !t.pool.isDuplicate(c, x.body) {
 			return x, nil
 		}
 		b.nextResponse() // it was an earlier request's: this one's is still to come
--- a/internal/testing/soaktest/ledger.go
+++ b/internal/testing/soaktest/ledger.go
@@ -335,12 +335,12 @@
 		l.addViolationLocked(InvariantNothingAfterEnd, "%s was forwarded and never whole", r.id)
 		return
 	}
-	over := r.complete.Add(r.timeout)
-	if !r.clientGone.IsZero() && r.clientGone.Add(clientGoneSlack).Before(over) {
-		over = r.clientGone.Add(clientGoneSlack)
+	over := r.complete.Add(r.timeout + protocolSlack)
+	if gone := r.clientGone.Add(clientGoneSlack); !r.clientGone.IsZero() && gone.Before(over) {
+		over = gone
 	}
-	if !r.answered.IsZero() && r.answered.Before(over) {
-		over = r.answered
+	if answered := r.answered.Add(protocolSlack); !r.answered.IsZero() && answered.Before(over) {
+		over = answered
 	}
 	// A slow reader has the last byte later than its machine has.
 	if late := a.complete.Sub(over) - a.readingTook; late > machineSlack+l.excused(r.sidecar, r.complete, a.complete) {
