--- /dev/null
+++ b/internal/testing/loopback/loopback.go
@@ -0,0 +1,28 @@
+// Package loopback picks addresses for processes that a test starts.
+package loopback
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+)
+
+// hostsPerByte is how many values of one byte of a loopback address are used.
+const hostsPerByte = 250
+
+// picked counts the addresses that were picked.
+var picked atomic.Int64
+
+// FreeAddr returns an address on which nothing listens. Its host is of its own among those of
+// the loopback, so no port that the system gives a connection or another listener meanwhile is
+// in its way, as little as when a process starts again there.
+func FreeAddr() (string, error) {
+	n := picked.Add(1)
+	host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%hostsPerByte, 1+n/hostsPerByte, 1+n%hostsPerByte)
+	ln, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", fmt.Errorf("pick an address: %w", err)
+	}
+	return ln.Addr().String(), ln.Close()
+}
