Picked addresses are free; a call without time says so; an error field that was never set goes

- Tests: an address was picked by listening for a moment while another process was started; that one has the listener between fork and exec.
Picked under ForkLock now, in one package for the integration, chaos, soak and local fleet tests.
It is why three of 24 replicas once could not listen.
- Registry client: a call whose context has ended names that, and not the replicas.
The test fails without the change and passes.
- client.Error.Version was always 0, as the body of an error answer has no version.

--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -112,6 +112,9 @@
 			return fmt.Errorf("registry: write request: %w", err)
 		}
 	}
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("registry: not asked: %w", err) // that no replica answers would mislead
+	}
 	if c.timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.timeout)
@@ -278,5 +281,5 @@
 	if status >= http.StatusInternalServerError && status != http.StatusInsufficientStorage {
 		return fmt.Errorf("%s: %d: %s", addr, status, w.Error)
 	}
-	return &Error{Status: status, Message: w.Error, Version: w.Version}
+	return &Error{Status: status, Message: w.Error}
 }
--- a/internal/registry/client/errors.go
+++ b/internal/registry/client/errors.go
@@ -11,7 +11,6 @@
 type Error struct {
 	Status  int    // of the HTTP response
 	Message string // one line
-	Version uint64 // of the entry or record, where the registry says so
 }
 
 // Error returns the registry's message.
--- a/internal/registry/client/stale_answer_test.go
+++ b/internal/registry/client/stale_answer_test.go
@@ -1,6 +1,8 @@
 package client
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -53,3 +55,23 @@
 		}
 	}
 }
+
+// What happens: a log says `no replica of the registry answers`, and they all do. Why: the
+// caller's time was over before the call, so that nobody was asked; the error named the
+// replicas all the same.
+func TestCallWithoutTimeNamesItsContext(t *testing.T) {
+	asked := make(chan struct{}, 10)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked <- struct{}{} }))
+	defer server.Close()
+	c, err := New([]string{server.Listener.Addr().String()}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = c.Leases(ctx, 0, 0)
+	if !errors.Is(err, context.Canceled) || errors.Is(err, ErrUnreachable) || len(asked) > 0 {
+		t.Errorf("got %v after %d calls, want that the context was cancelled, and no call", err, len(asked))
+	}
+}
--- a/internal/testing/chaostest/fleet.go
+++ b/internal/testing/chaostest/fleet.go
@@ -1,19 +1,16 @@
 package chaostest
 
 import (
-	"fmt"
-	"net"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 
 	"barleywick/internal/addressmap"
 	"barleywick/internal/membership"
 	"barleywick/internal/registry"
 	"barleywick/internal/testing/faultinjection"
 	"barleywick/internal/testing/loadgen"
+	"barleywick/internal/testing/loopback"
 )
 
 // replicaCount is how many replicas the registry has.
@@ -35,22 +32,6 @@
 	clients       map[string]*loadgen.Client // by sidecar
 }
 
-// addressesGiven counts the addresses that freeAddr has returned.
-var addressesGiven atomic.Int64
-
-// freeAddr returns a loopback address that nobody else is given. The host differs each time, so
-// the port cannot be taken by a connection or another listener before its process uses it or
-// when the process starts again.
-func freeAddr() (string, error) {
-	n := addressesGiven.Add(1)
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, 1+n/250, 1+n%250))
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 // numberedNames returns n names that begin with a prefix.
 func numberedNames(prefix string, n int) (names []string) {
 	for i := range n {
@@ -86,7 +67,7 @@
 func (f *fleet) assignAddresses() (err error) {
 	addr := func() (a string) {
 		if err == nil {
-			a, err = freeAddr()
+			a, err = loopback.FreeAddr()
 		}
 		return a
 	}
--- a/internal/testing/integration/harness_test.go
+++ b/internal/testing/integration/harness_test.go
@@ -30,6 +30,7 @@
 	"barleywick/internal/registry/server"
 	"barleywick/internal/sidecar"
 	"barleywick/internal/sidecarmember"
+	"barleywick/internal/testing/loopback"
 )
 
 const patience = 60 * time.Second // how long a test waits for an event; it never has to in a good run
@@ -170,22 +171,14 @@
 	}
 }
 
-// given counts the addresses that were given out.
-var given atomic.Int64
-
-// freeAddr is an address that nobody listens on, nor comes to: its host is of its own
-// among those of the loopback, so no port that the system gives a connection or another
-// listener meanwhile is in its way, as little as when a process starts again there.
+// freeAddr is an address that nobody listens on, nor comes to.
 func freeAddr(t testing.TB) string {
 	t.Helper()
-	n := given.Add(1)
-	host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+n/250, 1+n%250)
-	ln, err := net.Listen("tcp", host+":0")
+	address, err := loopback.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return address
 }
 
 // readFile reads what writeFile has written.
--- a/internal/testing/localfleet/bookingserver.go
+++ b/internal/testing/localfleet/bookingserver.go
@@ -12,6 +12,7 @@
 
 	"barleywick/internal/registry"
 	"barleywick/internal/simulation/emulator"
+	"barleywick/internal/testing/loopback"
 )
 
 // bookingServer is a booking server: the emulator's model of one behind a listener.
@@ -314,32 +315,14 @@
 	b.kill()
 }
 
-// freeAddr returns an address that nothing listens on.
-func freeAddr() (string, error) {
-	addrs, err := freeAddrs(1)
-	if err != nil {
-		return "", err
-	}
-	return addrs[0], nil
-}
-
-// freeAddrs returns n different addresses that nothing listens on. Each is held until
-// all are picked: the kernel may give out again a port that was let go.
+// freeAddrs returns n addresses that nothing listens on, each with a host of its own.
 func freeAddrs(n int) ([]string, error) {
-	var held []net.Listener
-	defer func() {
-		for _, ln := range held {
-			_ = ln.Close()
-		}
-	}()
 	addrs := make([]string, n)
 	for i := range addrs {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("no free port was found: %w", err)
+		var err error
+		if addrs[i], err = loopback.FreeAddr(); err != nil {
+			return nil, err
 		}
-		held = append(held, ln)
-		addrs[i] = ln.Addr().String()
 	}
 	return addrs, nil
 }
--- a/internal/testing/localfleet/sidecar.go
+++ b/internal/testing/localfleet/sidecar.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"barleywick/internal/testing/loadgen"
+	"barleywick/internal/testing/loopback"
 )
 
 // sidecarProcess is one real sidecar process, and its client.
@@ -44,7 +45,7 @@
 
 // prepare picks an address and writes the configuration.
 func (s *sidecarProcess) prepare(discovery []string) error {
-	addr, err := freeAddr()
+	addr, err := loopback.FreeAddr()
 	if err != nil {
 		return err
 	}
--- a/internal/testing/loopback/loopback.go
+++ b/internal/testing/loopback/loopback.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 )
 
 // hostsPerByte is how many values of one byte of a loopback address are used.
@@ -16,8 +17,11 @@
 
 // FreeAddr returns an address on which nothing listens. Its host is of its own among those of
 // the loopback, so no port that the system gives a connection or another listener meanwhile is
-// in its way, as little as when a process starts again there.
+// in its way, as little as when a process starts again there. No process is started while it
+// listens: between fork and exec that one would listen, too, and go on when this one has ended.
 func FreeAddr() (string, error) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	n := picked.Add(1)
 	host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%hostsPerByte, 1+n/hostsPerByte, 1+n%hostsPerByte)
 	ln, err := net.Listen("tcp", host+":0")
--- a/internal/testing/soaktest/sidecar.go
+++ b/internal/testing/soaktest/sidecar.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -35,17 +34,6 @@
 	downAt   time.Time // since when it is ending or has ended; zero: it serves
 }
 
-// loopbackAddress returns an address whose host no other part of the run uses.
-func loopbackAddress(index int) string {
-	for port := 20000 + os.Getpid()%20000; ; port++ {
-		address := fmt.Sprintf("127.%d.%d.%d:%d", 60+os.Getpid()%60, 1+index/200, 1+index%200, port)
-		if ln, err := net.Listen("tcp", address); err == nil {
-			ln.Close()
-			return address
-		}
-	}
-}
-
 // classSettings is a class of requests in the form of the settings.
 type classSettings struct {
 	Name        string `json:"name"`
--- a/internal/testing/soaktest/soaktest.go
+++ b/internal/testing/soaktest/soaktest.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"barleywick/internal/testing/faultinjection"
+	"barleywick/internal/testing/loopback"
 	"barleywick/internal/testing/wait"
 )
 
@@ -245,7 +246,11 @@
 
 // newSidecar prepares a sidecar process.
 func (f *fleet) newSidecar(index int) (*sidecar, error) {
-	s := &sidecar{name: fmt.Sprint("n", index), addr: loopbackAddress(index)}
+	address, err := loopback.FreeAddr()
+	if err != nil {
+		return nil, err
+	}
+	s := &sidecar{name: fmt.Sprint("n", index), addr: address}
 	s.config = filepath.Join(f.dir, s.name+".json")
 	if err := s.writeConfig(f.Seed+uint64(index), f.Sidecars, f.discovery.addresses[0], f.discovery.stale); err != nil {
 		return nil, err
