--- a/internal/testing/soaktest/soaktest_test.go
+++ b/internal/testing/soaktest/soaktest_test.go
@@ -71,3 +71,24 @@
 		})
 	}
 }
+
+// What happens: a server drains while discovery is down, discovery can be reached for half a
+// second to 0.9 s and is down again for ten, and sidecars send to that server until it is back.
+// Why: a watcher whose calls fail pauses for up to 1.5 s between two of them, so that it may miss
+// a spell that is shorter. By the terms of acceptance a change counts as told 6 s after
+// discovery had it and could be reached, however short that was. What showed it, at seed 213: s-0
+// drains at 4.738 s, discovery can be reached from 5.297 to 6.143 s, and the sidecar calls at 5.26
+// and 6.69 s. Calls at a shorter interval from a whole fleet would keep a discovery service that
+// is short of time from coming back, so this is not mended.
+func TestSoakWithShortSpellsOfDiscovery(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it starts real processes")
+	}
+	report, err := Run(t.Context(), Options{Seed: 213, Sidecars: 16, Clients: 3, Servers: 6, Duration: 15 * time.Second, Command: testBinary})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range report.Violations {
+		t.Error(c)
+	}
+}
