--- a/internal/testing/integration/registry_reads_test.go
+++ b/internal/testing/integration/registry_reads_test.go
@@ -123,6 +123,13 @@
 	l.writes = append(l.writes, acknowledgedWrite{seq, time.Now()})
 }
 
+// count returns how many writes were acknowledged.
+func (l *writeLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.writes)
+}
+
 // newestBefore returns the version that was acknowledged last before a time.
 func (l *writeLog) newestBefore(at time.Time) (seq uint64) {
 	l.mu.Lock()
@@ -199,8 +206,8 @@
 			t.Fatalf("%v after the fault no response of %s is current", time.Since(ended), target.ID)
 		}
 	}
-	t.Logf("current again after %v, %d writes", time.Since(ended).Round(time.Millisecond), len(log.writes))
-	if n := len(log.writes); n < 20 {
+	t.Logf("current again after %v, %d writes", time.Since(ended).Round(time.Millisecond), log.count())
+	if n := log.count(); n < 20 {
 		t.Errorf("too little was seen: %d writes, 20 at least are wanted", n)
 	}
 	reads.Wait()
