Picked addresses: package os forks once without ForkLock

Cause: at the first process that it starts, package os forks a child without ForkLock to find out whether clone gives process descriptors (os_checkClonePidfd).

--- a/internal/testing/loopback/loopback.go
+++ b/internal/testing/loopback/loopback.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 )
@@ -15,11 +16,20 @@
 // picked counts the addresses that were picked.
 var picked atomic.Int64
 
+// checkSystem has package os find out what the system can do, for which it forks once without
+// ForkLock.
+var checkSystem = sync.OnceFunc(func() {
+	if self, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = self.Release() // it was found for the check alone
+	}
+})
+
 // FreeAddr returns an address on which nothing listens. Its host is of its own among those of
 // the loopback, so no port that the system gives a connection or another listener meanwhile is
 // in its way, as little as when a process starts again there. No process is started while it
 // listens: between fork and exec that one would listen, too, and go on when this one has ended.
 func FreeAddr() (string, error) {
+	checkSystem()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
 	n := picked.Add(1)
