Membership: the whole end of a member is bounded, whatever its folder does

A sync that hangs held the end of replicas, controllers and sidecars until their watchdog.

Cause: Run waited, without a bound, for the cache's last sync, for a save under way in reconnectLoop (which called nobody meanwhile), for an exchange of views with dead seeds (up to 4 calls in a row), for the callback of changes, and for the transport: memberlist's waits for its listener, which may hold a connection that nobody takes once acceptStreams has ended.

Why it works: one goroutine saves the cache, so nothing else waits for a sync; the last save runs beside the leave and is waited for up to 3 s (lastSaveBound), before the address is free. Calls that cannot be cancelled are left behind when the end begins. The listener's connection is taken and closed. Run returns at endBound, 4 s, whatever else hangs. The cache is a hint; what has to hold is that the next incarnation is higher: it is now saved at the start and not first after 10 s, also when supersede has raised it, and a replaced process writes no more. Where nobody is present the addresses stored before are kept, so that the early save loses none.

--- a/internal/membership/gossip/cache.go
+++ b/internal/membership/gossip/cache.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -58,12 +59,38 @@
 	return cache, nil
 }
 
-// saveCache stores where members listen. Of many it takes some at random.
+// saveLoop saves the cache until ctx ends, and once more then. The first save is at once, so
+// that this start's incarnation is stored however the process ends. A sync may hang for as
+// long as the disk does, so nothing else waits for this loop without a bound.
+func (n *Node) saveLoop(ctx context.Context) {
+	ticker := time.NewTicker(cacheInterval)
+	defer ticker.Stop()
+	for {
+		n.saveCache()
+		select {
+		case <-ticker.C:
+		case <-n.saveNow:
+		case <-ctx.Done():
+			n.saveCache()
+			return
+		}
+	}
+}
+
+// saveCache stores this start's incarnation and where members listen. Of many addresses it
+// takes some at random; where nobody is present it keeps those that it has stored before. Of
+// two processes of one name the later one has the file.
 func (n *Node) saveCache() {
-	if n.options.Config.StateDir == "" {
+	self, _ := n.Get(n.Self().Key())
+	if n.options.Config.StateDir == "" || self.Status == membership.StatusReplaced {
 		return
 	}
 	addresses := n.addresses(func(member membership.Member) bool { return member.Status.CountsAsPresent() })
+	if len(addresses) == 0 {
+		if last, err := n.loadCache(); err == nil { // Start has said what is wrong with it
+			addresses = last.Addresses
+		}
+	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	cache := memberCache{
 		Fleet:       n.options.Config.Fleet,
@@ -83,5 +110,9 @@
 	if err := os.MkdirAll(n.options.Config.StateDir, 0o700); err != nil {
 		return err
 	}
-	return renameio.WriteFile(n.cachePath(), text, 0o600)
+	return n.writeFile(n.cachePath(), text, 0o600)
+}
+
+func replaceFile(path string, text []byte, permissions os.FileMode) error {
+	return renameio.WriteFile(path, text, permissions)
 }
--- a/internal/membership/gossip/compatibility_test.go
+++ b/internal/membership/gossip/compatibility_test.go
@@ -46,7 +46,7 @@
 func newOfflineNode(folder string) *Node {
 	n := &Node{
 		options: Options{Config: membership.Config{Fleet: "prenota-nord", Listen: "127.0.0.1:9601", StateDir: folder, ForgetS: 600, ProbeMS: 500}, Self: k1},
-		log:     discard, startedAt: time.Now(), self: k1, changed: make(chan struct{}, 1),
+		log:     discard, startedAt: time.Now(), self: k1, changed: make(chan struct{}, 1), writeFile: replaceFile,
 		addrs: map[string]string{"s1/11": "127.0.0.1:9611", "s2/12": "127.0.0.1:9612", "s3/13": "127.0.0.1:9613"}, unresponsive: make(map[string]time.Duration),
 	}
 	n.broadcasts = &memberlist.TransmitLimitedQueue{NumNodes: func() int { return 5 }, RetransmitMult: 4}
--- /dev/null
+++ b/internal/membership/gossip/end_test.go
@@ -0,0 +1,265 @@
+package gossip
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"barleywick/internal/membership"
+)
+
+// deafTransport reaches nobody: a call of another member fails when its time is over.
+type deafTransport struct {
+	*wire
+	heldStream bool // its listener has accepted a connection that nobody has taken yet
+	shutDown   chan struct{}
+}
+
+func newDeafTransport() *deafTransport {
+	return &deafTransport{wire: newWire(), shutDown: make(chan struct{})}
+}
+
+func (d *deafTransport) DialAddressTimeout(_ memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	time.Sleep(timeout)
+	return nil, os.ErrDeadlineExceeded
+}
+
+// Shutdown waits for the listener, as that of memberlist's own transport does.
+func (d *deafTransport) Shutdown() error {
+	if d.heldStream {
+		near, far := net.Pipe()
+		defer far.Close()
+		d.streams <- near
+	}
+	close(d.shutDown)
+	return nil
+}
+
+// lockedBuffer is a log that goroutines share.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// endingMember is a member that a test tells to end.
+type endingMember struct {
+	*Node
+	transport  *deafTransport
+	log        lockedBuffer
+	cancel     context.CancelFunc
+	ended      chan error
+	writesHang atomic.Pointer[chan struct{}] // until it is closed; nil: they don't
+}
+
+// newEndingMember makes a member of an incarnation, which does not run yet.
+func newEndingMember(t *testing.T, folder string, incarnation uint64, change func(o *Options)) *endingMember {
+	t.Helper()
+	m := &endingMember{transport: newDeafTransport(), ended: make(chan error, 1)}
+	o := Options{
+		Config:    membership.Config{Fleet: "prenota-nord", Listen: "127.0.0.1:9601", StateDir: folder, Seeds: []string{"127.0.0.1:9602", "127.0.0.1:9603", "127.0.0.1:9604", "127.0.0.1:9605"}},
+		Self:      membership.Info{Name: "s1", Incarnation: incarnation, Role: membership.RoleSidecar},
+		Transport: m.transport, Logger: slog.New(slog.NewTextHandler(&m.log, nil)),
+	}
+	if change != nil {
+		change(&o)
+	}
+	var err error
+	if m.Node, err = Start(o); err != nil {
+		t.Fatal(err)
+	}
+	m.writeFile = m.write
+	return m
+}
+
+func (m *endingMember) run() {
+	var ctx context.Context
+	ctx, m.cancel = context.WithCancel(context.Background())
+	go func() { m.ended <- m.Run(ctx) }()
+}
+
+// end tells the member to end, and returns how long that takes and its result.
+func (m *endingMember) end(t *testing.T) (took time.Duration, err error) {
+	t.Helper()
+	begun := time.Now()
+	m.cancel()
+	select {
+	case err = <-m.ended:
+		return time.Since(begun), err
+	case <-time.After(time.Hour):
+		t.Errorf("the member has not ended after an hour; its log:\n%s", m.log.String())
+		return time.Hour, nil
+	}
+}
+
+// hangingWrites has the writes of the member's cache hang from now on, until the returned
+// function is called.
+func (m *endingMember) hangingWrites() (release func()) {
+	released := make(chan struct{})
+	m.writesHang.Store(&released)
+	return func() { close(released) }
+}
+
+func (m *endingMember) write(path string, text []byte, permissions fs.FileMode) error {
+	if released := m.writesHang.Load(); released != nil {
+		<-*released
+		return os.ErrClosed
+	}
+	return replaceFile(path, text, permissions)
+}
+
+// A sync of the cache that never returns delays the end by its stated time and no longer, be
+// it the last one or one that is under way: the cache is a hint for the next start. The
+// member leaves in order all the same, and its log says what it has not waited for.
+func TestEndWithHangingSync(t *testing.T) {
+	for name, runs := range map[string]time.Duration{"before the first save": 0, "at the last save": time.Second, "with a save under way": 3 * cacheInterval} {
+		t.Run(name, func(t *testing.T) {
+			folder := t.TempDir()
+			synctest.Test(t, func(t *testing.T) {
+				m := newEndingMember(t, folder, 11, nil)
+				release := m.hangingWrites()
+				m.run()
+				time.Sleep(runs)
+				took, err := m.end(t)
+				if took > endBound || err != nil {
+					t.Errorf("ended after %v with %v, want %v at most and no error", took, err, endBound)
+				}
+				select {
+				case <-m.transport.shutDown:
+				default:
+					t.Error("the member has not left: its transport is open")
+				}
+				if !strings.Contains(m.log.String(), "members: cache not saved in time") {
+					t.Errorf("the log does not say that the cache was not saved:\n%s", m.log.String())
+				}
+				release()
+				time.Sleep(time.Minute) // the goroutines that are left end by their timeouts
+			})
+		})
+	}
+}
+
+// A member that is told to end while it calls seeds that do not answer ends at once: nobody
+// has to be told.
+func TestEndWhileJoining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newEndingMember(t, "", 11, nil)
+		m.run()
+		time.Sleep(callTimeout / 2)
+		took, err := m.end(t)
+		if took > callTimeout || err != nil {
+			t.Errorf("ended after %v with %v, want %v at most and no error", took, err, callTimeout)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// A connection that the listener holds as the member ends has nobody to take it, and the end of
+// memberlist's transport waits for its listener.
+func TestEndWithConnectionInHand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newEndingMember(t, "", 11, nil)
+		m.transport.heldStream = true
+		m.run()
+		time.Sleep(10 * time.Second)
+		took, err := m.end(t)
+		if took > callTimeout || err != nil {
+			t.Errorf("ended after %v with %v, want %v at most and no error", took, err, callTimeout)
+		}
+		select {
+		case <-m.transport.shutDown:
+		default:
+			t.Error("the transport has not ended")
+			<-m.transport.streams
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// Whatever hangs, the end is over at its bound and says that it was not in order.
+func TestEndBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		m := newEndingMember(t, "", 11, func(o *Options) { o.OnChange = func() { <-release } })
+		m.run()
+		m.notifyChanged()
+		time.Sleep(10 * time.Second)
+		took, err := m.end(t)
+		if took != endBound || err == nil {
+			t.Errorf("ended after %v with %v, want %v and an error", took, err, endBound)
+		}
+		close(release)
+		time.Sleep(time.Minute)
+	})
+}
+
+// The next start's incarnation is above this one's also where this one has ended before its
+// first interval, while it still calls seeds, and without its last save, and the clock was set back. Where members listen
+// is kept while none is present.
+func TestIncarnationAfterHangingEnd(t *testing.T) {
+	folder := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		m := newEndingMember(t, folder, 100, nil)
+		if err := m.writeCache(memberCache{Fleet: "prenota-nord", Incarnation: 20, Addresses: []string{"127.0.0.1:9607"}}); err != nil {
+			t.Fatal(err)
+		}
+		m.run()
+		time.Sleep(time.Second)
+		release := m.hangingWrites()
+		if _, err := m.end(t); err != nil {
+			t.Error(err)
+		}
+		next := newEndingMember(t, folder, 50, nil)
+		if got := next.Self().Incarnation; got <= 100 {
+			t.Errorf("the next start has the incarnation %d, want more than 100", got)
+		}
+		if cache, err := next.loadCache(); err != nil || fmt.Sprint(cache.Addresses) != "[127.0.0.1:9607]" {
+			t.Errorf("the cache holds %+v (%v), want the address that it held before", cache, err)
+		}
+		release()
+		if err := next.list.Load().Shutdown(); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// Of two processes of one name the later one has the file: the earlier one, which may save
+// after it, does not put its lower incarnation there.
+func TestReplacedProcessLeavesCacheAlone(t *testing.T) {
+	folder := t.TempDir()
+	n := newOfflineNode(folder)
+	later := k1
+	later.Incarnation++
+	if err := n.writeCache(memberCache{Fleet: n.options.Config.Fleet, Incarnation: later.Incarnation}); err != nil {
+		t.Fatal(err)
+	}
+	n.view.MarkPresent(later, n.now())
+	n.saveCache()
+	if cache, err := n.loadCache(); err != nil || cache.Incarnation != later.Incarnation {
+		t.Errorf("the file holds the incarnation %d (%v), want %d", cache.Incarnation, err, later.Incarnation)
+	}
+}
--- a/internal/membership/gossip/join.go
+++ b/internal/membership/gossip/join.go
@@ -77,11 +77,10 @@
 	n.log.Warn("members: no peer found yet, still trying", "name", n.Self().Name)
 }
 
-// reconnectLoop calls members that have missed something, until ctx ends, and saves the
-// cache now and then. Unreachable members have to be called: both sides of a partition may
-// have given the other up, and SWIM itself never calls a dead member.
+// reconnectLoop calls members that have missed something, until ctx ends. Unreachable members
+// have to be called: both sides of a partition may have given the other up, and SWIM itself
+// never calls a dead member.
 func (n *Node) reconnectLoop(ctx context.Context) {
-	savedAt := time.Now()
 	for {
 		select {
 		case <-time.After(roundInterval*3/4 + rand.N(roundInterval/2)): // spreads the members' calls
@@ -91,13 +90,14 @@
 		if size := n.Size(); size > callersPerRound && rand.IntN(size) >= callersPerRound {
 			continue
 		}
-		if addresses := n.reconnectAddresses(ctx); len(addresses) > 0 {
-			n.exchangeViews(addresses)
-		}
-		if time.Since(savedAt) > cacheInterval {
-			n.saveCache()
-			savedAt = time.Now()
-		}
+		await(ctx, func() { n.reconnect(ctx) })
+	}
+}
+
+// reconnect calls the members of one round.
+func (n *Node) reconnect(ctx context.Context) {
+	if addresses := n.reconnectAddresses(ctx); len(addresses) > 0 {
+		n.exchangeViews(addresses)
 	}
 }
 
--- a/internal/membership/gossip/lifecycle.go
+++ b/internal/membership/gossip/lifecycle.go
@@ -18,6 +18,14 @@
 // follows.
 const labelPrefix = "barleywick/"
 
+const (
+	// endBound is how long the end of a member takes at most, whatever its folder, its callers
+	// and its peers do.
+	endBound = 4 * time.Second
+	// lastSaveBound is for how long of that the cache's last save is waited for.
+	lastSaveBound = 3 * time.Second
+)
+
 // createMemberlist starts memberlist, with an empty view, as the process of the node's
 // present incarnation.
 func (n *Node) createMemberlist() error {
@@ -57,8 +65,25 @@
 }
 
 // Run joins the fleet and keeps this process a member until ctx ends. It then announces
-// that the process leaves.
+// that the process leaves. It returns at endBound after ctx has ended at the latest; what
+// hangs then goes on beside the rest of the process.
 func (n *Node) Run(ctx context.Context) error {
+	ended := make(chan error, 1)
+	go func() { ended <- n.run(ctx) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(endBound):
+		return fmt.Errorf("membership: %s has not left within %v", n.options.Self.Name, endBound)
+	}
+}
+
+func (n *Node) run(ctx context.Context) error {
 	if n.processes != nil {
 		defer n.processes.close()
 	}
@@ -67,7 +92,12 @@
 	taskCtx, stopTasks := context.WithCancel(ctx)
 	defer stopTasks()
 	tasks.Go(func() { n.deliverChanges(taskCtx) })
-	n.join(taskCtx)
+	saved := make(chan struct{})
+	go func() { // no task: a sync may never return
+		defer close(saved)
+		n.saveLoop(taskCtx)
+	}()
+	await(ctx, func() { n.join(taskCtx) })
 	if err := n.supersede(taskCtx); err != nil {
 		return err
 	}
@@ -82,7 +112,21 @@
 		<-ctx.Done() // the rest of the process goes on without membership
 		return nil
 	}
-	return n.leave()
+	return n.leave(saved)
+}
+
+// await runs a call that cannot be cancelled, and returns when it has returned or ctx has
+// ended.
+func await(ctx context.Context, call func()) {
+	returned := make(chan struct{})
+	go func() {
+		defer close(returned)
+		call()
+	}()
+	select {
+	case <-returned:
+	case <-ctx.Done():
+	}
 }
 
 // runRounds runs a round at each interval until ctx ends, or until a later process has this
@@ -108,12 +152,13 @@
 }
 
 // supersede takes a higher incarnation where a process of this name was there before and
-// has a later one, by its clock: this process has started after it.
+// has a later one, by its clock: this process has started after it. One that ends already
+// takes none.
 func (n *Node) supersede(ctx context.Context) error {
 	n.mu.Lock()
 	latest, _ := n.view.Latest(n.self.Name)
 	n.mu.Unlock()
-	if latest.Incarnation <= n.Self().Incarnation {
+	if ctx.Err() != nil || latest.Incarnation <= n.Self().Incarnation {
 		return nil
 	}
 	if n.options.Transport != nil {
@@ -126,6 +171,7 @@
 	n.mu.Lock()
 	n.self.Incarnation = latest.Incarnation + 1
 	n.mu.Unlock()
+	signal(n.saveNow)
 	if err := n.createMemberlist(); err != nil {
 		return err
 	}
@@ -133,12 +179,18 @@
 	return nil
 }
 
-// leave announces that this process leaves, and stops.
-func (n *Node) leave() error {
+// leave announces that this process leaves, waits for the cache's last save, and stops.
+func (n *Node) leave(saved <-chan struct{}) error {
+	saveTimer := time.NewTimer(lastSaveBound)
+	defer saveTimer.Stop()
 	n.broadcast(message{Kind: messageLeave, Key: n.Self().Key()})
 	time.Sleep(2 * gossipInterval) // lets the message go out before SWIM's own
 	err := n.list.Load().Leave(leaveTimeout)
-	n.saveCache()
+	select {
+	case <-saved: // before the address is free, where another process may start that reads it
+	case <-saveTimer.C:
+		n.log.Warn("members: cache not saved in time", "bound", lastSaveBound)
+	}
 	return errors.Join(err, n.list.Load().Shutdown())
 }
 
--- a/internal/membership/gossip/node.go
+++ b/internal/membership/gossip/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,6 +69,9 @@
 	processes  *processWatcher // nil: it watches none
 	replaced   chan struct{}   // signals that a later process has this one's name
 	changed    chan struct{}   // signals that the view has changed
+	saveNow    chan struct{}   // signals that the cache is outdated
+	// writeFile replaces a file and syncs it, which takes as long as the disk takes.
+	writeFile func(path string, text []byte, permissions os.FileMode) error
 
 	mu           sync.Mutex
 	self         membership.Info
@@ -104,8 +108,8 @@
 func newNode(o Options) *Node {
 	n := &Node{
 		options: o, log: o.Logger, startedAt: time.Now(), self: o.Self,
-		replaced: make(chan struct{}, 1), changed: make(chan struct{}, 1),
-		addrs: make(map[string]string), unresponsive: make(map[string]time.Duration),
+		replaced: make(chan struct{}, 1), changed: make(chan struct{}, 1), saveNow: make(chan struct{}, 1),
+		addrs: make(map[string]string), unresponsive: make(map[string]time.Duration), writeFile: replaceFile,
 	}
 	if n.log == nil {
 		n.log = slog.Default()
--- a/internal/membership/gossip/transport.go
+++ b/internal/membership/gossip/transport.go
@@ -130,13 +130,30 @@
 	}
 }
 
-// Shutdown stops listening.
+// Shutdown stops listening. The inner transport waits for its listener, which may hold a
+// connection until somebody takes it.
 func (t *mappedTransport) Shutdown() error {
 	t.stopOnce.Do(func() { close(t.stopping) })
 	t.tasks.Wait()
+	closed := make(chan struct{})
+	defer close(closed)
+	go t.refuseStreams(closed)
 	return t.NodeAwareTransport.Shutdown()
 }
 
+// refuseStreams closes the connections that arrive, until the transport is closed.
+func (t *mappedTransport) refuseStreams(closed <-chan struct{}) {
+	for {
+		select {
+		case <-closed:
+			return
+		case conn := <-t.NodeAwareTransport.StreamCh():
+			t.traffic.refused.Add(1)
+			conn.Close()
+		}
+	}
+}
+
 // countingConn counts the bytes that are sent over a connection.
 type countingConn struct {
 	net.Conn
