Fault injection: Terminate awaits a process that has just ended, and its status counts

What callers saw: TestReplicaEndsUnderEachFault failed in 4 of about 80 runs with "the log does not name the step", though the replica had ended in order.

Cause: os.Process.Signal fails as soon as the process is reaped, while exec.Cmd.Wait still reads the pipe of its output. Terminate took that failure for "it has ended" and returned nil: before the output was read, and whatever the exit status, so that a replica that had been cut off or had panicked passed. It did so for every process that had ended before.

Evidence, forced by a shell that has ended while a child holds its output open (go test -run 'TestProcess|TestTerminate|TestOutput' ./internal/testing/faultinjection), before: TestTerminateAfterTheEnd: error nil, want exit status 3, output empty; TestOutputThatStaysOpen: nil.

Why it works: Terminate waits for the same event whether the signal was taken or not, the end of Wait, and returns its error. As that may now wait for output, Cmd.WaitDelay bounds the reading by 10 s; output that was not read to its end is an error.

A test was wrong: TestProcess wanted no error from Terminate for a process that a signal had killed before. It took gone for ended in order; it now wants an error there, and for a process that was never started.

--- a/internal/testing/faultinjection/process.go
+++ b/internal/testing/faultinjection/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
@@ -13,8 +14,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// maxOutputBytes bounds the output of a process that is held. Of more the latest is.
-const maxOutputBytes = 4 << 20
+const (
+	// maxOutputBytes bounds the output of a process that is held. Of more the latest is.
+	maxOutputBytes = 4 << 20
+	// defaultOutputDelay is for how long output is read after a process's end that another process
+	// holds open.
+	defaultOutputDelay = 10 * time.Second
+)
 
 // Process is a process that can be killed, stopped and continued by its id, and started
 // again. Its zero value with Name and NewCommand set is ready to start.
@@ -22,6 +28,8 @@
 	Name       string
 	NewCommand func() *exec.Cmd // returns a command that was not started yet
 
+	outputDelay time.Duration // 0: the default
+
 	mu     sync.Mutex
 	cmd    *exec.Cmd     // nil: it does not run
 	ended  chan struct{} // closed when the last start has ended
@@ -56,6 +64,7 @@
 	}
 	cmd := p.NewCommand()
 	cmd.Stdout, cmd.Stderr = p, p
+	cmd.WaitDelay = cmp.Or(p.outputDelay, defaultOutputDelay)
 	if cmd.SysProcAttr == nil {
 		cmd.SysProcAttr = new(syscall.SysProcAttr)
 	}
@@ -144,16 +153,19 @@
 	}
 }
 
-// Terminate sends the process SIGTERM and waits for its end. After the timeout it kills it.
+// Terminate sends the process SIGTERM and waits for its end, until all of its output is read
+// and its exit status is known: the end's error is returned, also where it has ended before.
+// After the timeout it kills it.
 func (p *Process) Terminate(timeout time.Duration) error {
-	for _, signal := range []syscall.Signal{syscall.SIGCONT, syscall.SIGTERM} {
-		if err := p.Signal(signal); err != nil {
-			return nil // it has ended
-		}
-	}
 	p.mu.Lock()
 	ended := p.ended
 	p.mu.Unlock()
+	if ended == nil {
+		return fmt.Errorf("%s was never started", p.Name)
+	}
+	for _, signal := range []syscall.Signal{syscall.SIGCONT, syscall.SIGTERM} {
+		_ = p.Signal(signal) // it fails if the process has ended
+	}
 	select {
 	case <-ended:
 		p.mu.Lock()
--- a/internal/testing/faultinjection/process_test.go
+++ b/internal/testing/faultinjection/process_test.go
@@ -1,7 +1,9 @@
 package faultinjection
 
 import (
+	"errors"
 	"io"
+	"os"
 	"os/exec"
 	"strings"
 	"syscall"
@@ -36,8 +38,67 @@
 	if err := p.Terminate(patience); err == nil { // sleep ends by the signal
 		t.Error("a process that ended by a signal: got no error")
 	}
-	if err := p.Terminate(patience); err != nil {
-		t.Errorf("a process that has ended: %v", err)
+	if err := p.Terminate(patience); err == nil {
+		t.Error("a process that has ended before, by a signal: got no error")
+	}
+	if err := new(Process).Terminate(patience); err == nil {
+		t.Error("a process that was never started: got no error")
+	}
+}
+
+// startWithOpenOutput starts a shell that has ended, while its output stays open until the
+// returned function is called; last words are then written.
+func startWithOpenOutput(t *testing.T, status string, outputDelay time.Duration) (p *Process, closeOutput func()) {
+	t.Helper()
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		reader.Close()
+		writer.Close()
+	})
+	p = &Process{Name: "p", outputDelay: outputDelay, NewCommand: func() *exec.Cmd {
+		cmd := exec.Command("sh", "-c", "exec 3<&0; (read line <&3; echo last words) & exit "+status)
+		cmd.Stdin = reader
+		return cmd
+	}}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(patience); p.Signal(syscall.Signal(0)) == nil; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the process has not ended")
+		}
+	}
+	return p, func() { writer.Close() }
+}
+
+// A process that has ended just before it is told to is awaited like any other: all that it
+// has written is read, and its exit status counts.
+func TestTerminateAfterTheEnd(t *testing.T) {
+	p, closeOutput := startWithOpenOutput(t, "3", 0)
+	time.AfterFunc(100*time.Millisecond, closeOutput)
+	err := p.Terminate(patience)
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.ExitCode() != 3 {
+		t.Errorf("got the error %v, want exit status 3", err)
+	}
+	if !strings.Contains(p.Output(), "last words") {
+		t.Errorf("its output was not read to the end: %q", p.Output())
+	}
+}
+
+// Output that another process holds open does not hold a test for ever, and is an error: it was
+// not read to its end.
+func TestOutputThatStaysOpen(t *testing.T) {
+	p, closeOutput := startWithOpenOutput(t, "0", 50*time.Millisecond)
+	watchdog := time.AfterFunc(patience/2, closeOutput)
+	if err := p.Terminate(patience); !errors.Is(err, exec.ErrWaitDelay) {
+		t.Errorf("got the error %v, want %v", err, exec.ErrWaitDelay)
+	}
+	if !watchdog.Stop() {
+		t.Error("its output was waited for until it was closed")
 	}
 }
 
