Tests: a process that is gone has to have ended in order, by status and log

What callers saw: a process that failed by itself, or was cut off by its own watchdog, passed tests that only looked at whether it was gone.

Cause: process.kill and the rig's clean-up dropped the result of Wait; TestHandoverTimes dropped that of Terminate; the soak test looked at Running after a planned end, and a SIGKILL or an injected crash counted as done where the process had failed before; localfleet's stop took a sidecar that had ended by itself with 0 for one that had obeyed; TestTakeOverThatFails and TestNoRequestIsOpenAtTheKillAfterAPlannedEnd did not look at the end of a process told by SIGTERM. None looked for "shutdown: cut off" in the log; a watchdog that fires while main returns leaves that line and status 0.

All changes are stricter. A new process that TestTakeOverThatFails told to come later is marked as ended, as its status was not judged before.

--- a/cmd/controller/main_test.go
+++ b/cmd/controller/main_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"barleywick/internal/testing/faultinjection"
 )
 
 // roleVariable makes the test binary a controller.
@@ -85,7 +87,7 @@
 			}
 			select {
 			case err := <-ended:
-				if err != nil {
+				if err := faultinjection.CheckEnd(err, log.String()); err != nil {
 					t.Errorf("it ended with %v:\n%s", err, log.String())
 				}
 			case <-time.After(endBound):
--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -13,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"barleywick/internal/testing/faultinjection"
 )
 
 // TestMain lets the test binary stand in for the program.
@@ -90,9 +93,11 @@
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
+	var log strings.Builder
 	for lines.Scan() { // to the end of its log
+		fmt.Fprintln(&log, lines.Text())
 	}
-	if err := cmd.Wait(); err != nil {
+	if err := faultinjection.CheckEnd(cmd.Wait(), log.String()); err != nil {
 		t.Errorf("ended with %v, want exit 0", err)
 	}
 }
--- a/internal/testing/faultinjection/injector.go
+++ b/internal/testing/faultinjection/injector.go
@@ -183,6 +183,9 @@
 	case DiskFull:
 		return func() error { return process.setDiskFull(false) }, process.setDiskFull(true)
 	default: // Crash
+		if err := process.Crashed(); err != nil {
+			return nil, fmt.Errorf("%s has failed by itself before: %w", f.Target, err)
+		}
 		process.Kill()
 		return process.Start, nil
 	}
--- a/internal/testing/faultinjection/process.go
+++ b/internal/testing/faultinjection/process.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -34,7 +35,9 @@
 	cmd    *exec.Cmd     // nil: it does not run
 	ended  chan struct{} // closed when the last start has ended
 	err    error         // of its end
+	killed bool          // by Kill, since the last start
 	output bytes.Buffer
+	begun  int // where the last start's output begins
 	Starts int // number of successful starts
 }
 
@@ -43,7 +46,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.output.Len()+len(b) > maxOutputBytes {
-		p.output.Next(p.output.Len() / 2)
+		dropped := p.output.Len() / 2
+		p.output.Next(dropped)
+		p.begun = max(0, p.begun-dropped)
 	}
 	return p.output.Write(b)
 }
@@ -69,11 +74,12 @@
 		cmd.SysProcAttr = new(syscall.SysProcAttr)
 	}
 	cmd.SysProcAttr.Pdeathsig = syscall.SIGKILL
+	p.begun = p.output.Len() // Write waits for the lock
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.Name, err)
 	}
 	ended := make(chan struct{})
-	p.cmd, p.ended = cmd, ended
+	p.cmd, p.ended, p.killed = cmd, ended, false
 	p.Starts++
 	go p.wait(cmd, ended) // ends with the process
 	return nil
@@ -145,6 +151,8 @@
 	if p.cmd != nil {
 		if err := p.cmd.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
 			fmt.Fprintf(&p.output, "kill %s: %v\n", p.Name, err)
+		} else if err == nil {
+			p.killed = true
 		}
 	}
 	p.mu.Unlock()
@@ -168,11 +176,44 @@
 	}
 	select {
 	case <-ended:
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return p.err
+		return p.EndError()
 	case <-time.After(timeout):
 		p.Kill()
 		return fmt.Errorf("%s did not end within %v", p.Name, timeout)
 	}
 }
+
+// EndError returns why the last start has not ended in order; nil: it has, or it runs.
+func (p *Process) EndError() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil || p.ended == nil {
+		return nil
+	}
+	return CheckEnd(p.err, string(p.output.Bytes()[p.begun:]))
+}
+
+// Crashed returns an error if the last start has ended neither in order nor by Kill.
+func (p *Process) Crashed() error {
+	p.mu.Lock()
+	killed := p.killed
+	p.mu.Unlock()
+	if killed {
+		return nil
+	}
+	return p.EndError()
+}
+
+// cutOffMark is in the log of a process whose end its own watchdog has cut off (package shutdown).
+const cutOffMark = "shutdown: cut off"
+
+// CheckEnd returns an error unless a process has ended in order: with status 0, and without
+// its own watchdog. waitError is what exec.Cmd.Wait returned, log what the process wrote.
+func CheckEnd(waitError error, log string) error {
+	at := strings.Index(log, cutOffMark)
+	if at < 0 {
+		return waitError
+	}
+	line, _, _ := strings.Cut(log[at:], "\n")
+	return errors.Join(waitError, errors.New(line))
+}
--- a/internal/testing/faultinjection/process_test.go
+++ b/internal/testing/faultinjection/process_test.go
@@ -3,14 +3,81 @@
 import (
 	"errors"
 	"io"
+	"log/slog"
 	"os"
 	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"barleywick/internal/shutdown"
 )
 
+// endVariable makes the test binary a process that ends in a certain way.
+const endVariable = "FAULTINJECTION_TEST_END"
+
+func TestMain(m *testing.M) {
+	switch os.Getenv(endVariable) {
+	case "":
+		os.Exit(m.Run())
+	case "cut off":
+		shutdown.Begin("p", time.Millisecond)
+		select {}
+	case "cut off, status 0": // its main function ends while the watchdog writes
+		slog.Error(cutOffMark)
+	}
+}
+
+// A process that its watchdog has cut off has not ended in order, whatever its status is; one
+// that is started again afterwards and ends in order has.
+func TestCutOffIsNoEnd(t *testing.T) {
+	var end string
+	p := &Process{Name: "p", NewCommand: func() *exec.Cmd {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), endVariable+"="+end)
+		return cmd
+	}}
+	for _, x := range []struct {
+		end     string
+		inOrder bool
+	}{{"cut off", false}, {"in order", true}, {"cut off, status 0", false}, {"in order", true}} {
+		end = x.end
+		if err := p.Start(); err != nil {
+			t.Fatal(err)
+		}
+		for deadline := time.Now().Add(patience); p.Running(); time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: it has not ended", x.end)
+			}
+		}
+		for name, err := range map[string]error{"Terminate": p.Terminate(patience), "EndError": p.EndError(), "Crashed": p.Crashed()} {
+			if (err == nil) != x.inOrder || !x.inOrder && !strings.Contains(err.Error(), cutOffMark) {
+				t.Errorf("%s: %s: got the error %v, want one that says so: %v", x.end, name, err, !x.inOrder)
+			}
+		}
+	}
+}
+
+// A crash that is injected does not hide that the process had failed by itself before.
+func TestCrashAfterFailure(t *testing.T) {
+	for status, hidden := range map[string]bool{"0": false, "3": true} {
+		p := &Process{Name: "p", NewCommand: func() *exec.Cmd { return exec.Command("sh", "-c", "exit "+status) }}
+		if err := p.Start(); err != nil {
+			t.Fatal(err)
+		}
+		for deadline := time.Now().Add(patience); p.Running(); time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("the process has not ended")
+			}
+		}
+		i := &Injector{Network: NewNetwork(1), Processes: map[string]*Process{"p": p}}
+		if _, err := i.Inject(Fault{Kind: Crash, Target: "p"}); (err != nil) != hidden {
+			t.Errorf("after status %s: got the error %v, want one: %v", status, err, hidden)
+		}
+	}
+}
+
 func TestProcess(t *testing.T) {
 	p := &Process{Name: "p", NewCommand: func() *exec.Cmd { return exec.Command("sh", "-c", "echo up; exec sleep 1000") }}
 	if err := p.Start(); err != nil {
@@ -32,6 +99,9 @@
 	if p.Running() || p.Signal(syscall.SIGCONT) == nil {
 		t.Error("a killed process counts as running")
 	}
+	if p.EndError() == nil || p.Crashed() != nil {
+		t.Errorf("a process that was killed has ended with %v, crashed with %v; want an end that is not in order and no crash", p.EndError(), p.Crashed())
+	}
 	if err := p.Start(); err != nil || p.Starts != 2 {
 		t.Errorf("second start: %v, %d starts", err, p.Starts)
 	}
--- a/internal/testing/integration/handover_test.go
+++ b/internal/testing/integration/handover_test.go
@@ -37,7 +37,9 @@
 		members []string
 	}{
 		{"planned", ttl, func(r *rig, holder string) func() error {
-			r.Processes[holder].Terminate(patience)
+			if err := r.Processes[holder].Terminate(patience); err != nil {
+				r.t.Errorf("%s did not end in order: %v", holder, err)
+			}
 			return r.Processes[holder].Start
 		}, nil},
 		{"killed", 2 * ttl, nil, nil},
--- a/internal/testing/integration/harness_test.go
+++ b/internal/testing/integration/harness_test.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -25,6 +26,7 @@
 	"barleywick/internal/sidecar"
 	"barleywick/internal/sidecar/config"
 	"barleywick/internal/sidecarmember"
+	"barleywick/internal/testing/faultinjection"
 	"barleywick/internal/testing/loopback"
 )
 
@@ -38,7 +40,7 @@
 )
 
 func TestMain(m *testing.M) {
-	run := map[string]func() error{"registry": runRegistry, "sidecar": runSidecar, "actor": runActor, "keeper": runKeeper}[os.Getenv(roleVariable)]
+	run := map[string]func() error{"registry": runRegistry, "sidecar": runSidecar, "actor": runActor, "keeper": runKeeper, failingRole: runFailing, cutOffRole: runCutOff}[os.Getenv(roleVariable)]
 	if run == nil {
 		os.Exit(m.Run())
 	}
@@ -78,6 +80,7 @@
 	env   []string
 	cmd   *exec.Cmd
 	log   *output
+	begun int // where the last start's log begins
 	ended chan error
 }
 
@@ -99,6 +102,9 @@
 	return o.text.String()
 }
 
+// after returns what was written after the first bytes.
+func (o *output) after(begun int) string { return o.String()[begun:] }
+
 func (o *output) count(what string) int { return strings.Count(o.String(), what) }
 
 func newProcess(t testing.TB, name, role string, env ...string) *process {
@@ -116,6 +122,7 @@
 
 func (p *process) start() {
 	p.t.Helper()
+	p.begun = len(p.log.String())
 	p.cmd = exec.Command(os.Args[0])
 	p.cmd.Env = append(os.Environ(), p.env...)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
@@ -135,11 +142,20 @@
 	}
 }
 
-// kill ends the process outright.
+// kill ends the process outright. It must not have failed by itself before.
 func (p *process) kill() {
-	p.cmd.Process.Kill()
-	<-p.ended
+	p.t.Helper()
+	killError := p.cmd.Process.Kill()
+	err := <-p.ended
 	p.cmd = nil
+	if err = p.checkEnd(err); errors.Is(killError, os.ErrProcessDone) && err != nil {
+		p.t.Errorf("%s had ended before it was killed, with %v", p.name, err)
+	}
+}
+
+// checkEnd returns an error unless the process has ended in order.
+func (p *process) checkEnd(waitError error) error {
+	return faultinjection.CheckEnd(waitError, p.log.after(p.begun))
 }
 
 // wait waits for the process to end by itself.
@@ -147,7 +163,8 @@
 	p.t.Helper()
 	select {
 	case err := <-p.ended:
-		if p.cmd = nil; err != nil {
+		p.cmd = nil
+		if err := p.checkEnd(err); err != nil {
 			p.t.Errorf("%s ended with %v", p.name, err)
 		}
 	case <-time.After(patience):
--- a/internal/testing/integration/rig_test.go
+++ b/internal/testing/integration/rig_test.go
@@ -135,8 +135,10 @@
 	r.Injector = &faultinjection.Injector{Network: faultinjection.NewNetwork(seed), Processes: make(map[string]*faultinjection.Process)}
 	r.routes, r.env = make(map[string]addressmap.Map), make(map[string][]string)
 	t.Cleanup(func() {
-		for _, p := range r.Processes {
-			p.Kill()
+		for name, p := range r.Processes {
+			if p.Kill(); p.Crashed() != nil {
+				t.Errorf("%s has failed by itself: %v", name, p.Crashed())
+			}
 		}
 		r.Network.Close()
 		if t.Failed() {
--- a/internal/testing/integration/shutdown_test.go
+++ b/internal/testing/integration/shutdown_test.go
@@ -175,6 +175,8 @@
 			time.Sleep(time.Until(began.Add(longest + 700*time.Millisecond)))
 			if s.alive() {
 				s.kill()
+			} else {
+				s.wait() // it has to have ended in order
 			}
 			running.Wait()
 			whole, answered := 0, 0
--- a/internal/testing/integration/takeover_test.go
+++ b/internal/testing/integration/takeover_test.go
@@ -143,6 +143,9 @@
 			if fresh.cmd = nil; x.says != "" && (err == nil || !fresh.says(x.says)) {
 				t.Errorf("%s: it ended with %v:\n%s", name, err, fresh.log)
 			}
+			if err := fresh.checkEnd(err); x.signal == syscall.SIGTERM && err != nil {
+				t.Errorf("%s: it did not end in order: %v", name, err)
+			}
 		case <-time.After(patience):
 			t.Fatalf("%s: it does not end", name)
 		}
@@ -169,6 +172,9 @@
 	var fresh *sidecarProcess
 	eventually(t, "a good one serves", func() bool {
 		if fresh == nil || !fresh.alive() { // it was told to come later
+			if fresh != nil {
+				fresh.cmd = nil // it has ended as it has to
+			}
 			fresh = p.process("the good one")
 		}
 		return fresh.says("msg=serving")
--- a/internal/testing/localfleet/localfleet_test.go
+++ b/internal/testing/localfleet/localfleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"strings"
@@ -176,3 +177,38 @@
 		}
 	}
 }
+
+// A sidecar that has ended before it was told to, or that its watchdog has cut off, has not
+// ended in order, whatever its status is.
+func TestStopReportsEndsOutOfOrder(t *testing.T) {
+	for script, want := range map[string]string{
+		"exit 0": "before it was told to",
+		"exit 3": "exit status 3",
+		"trap 'echo shutdown: cut off; exit 0' TERM; echo up; while :; do sleep 0.01; done": "shutdown: cut off",
+		"trap 'exit 0' TERM; echo up; while :; do sleep 0.01; done":                         "",
+	} {
+		log, err := os.Create(filepath.Join(t.TempDir(), "n0.log"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer log.Close()
+		s := &sidecarProcess{log: log, cmd: exec.Command("sh", "-c", script), ended: make(chan error, 1)}
+		s.cmd.Stdout = log
+		if err := s.cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasPrefix(script, "exit") {
+			s.ended <- s.cmd.Wait()
+		} else {
+			go func() { s.ended <- s.cmd.Wait() }()
+			for deadline := time.Now().Add(readyTimeout); s.lastLine() != "up"; time.Sleep(pollInterval) {
+				if time.Now().After(deadline) {
+					t.Fatal("it does not start")
+				}
+			}
+		}
+		if err := s.stop(); (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got the error %v, want %q", script, err, want)
+		}
+	}
+}
--- a/internal/testing/localfleet/sidecar.go
+++ b/internal/testing/localfleet/sidecar.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"barleywick/internal/testing/faultinjection"
 	"barleywick/internal/testing/loadgen"
 	"barleywick/internal/testing/loopback"
 )
@@ -119,6 +120,15 @@
 	return string(lines[len(lines)-1])
 }
 
+// checkEnd returns an error unless the process has ended in order.
+func (s *sidecarProcess) checkEnd(waitError error) error {
+	text, err := os.ReadFile(s.log.Name())
+	if err != nil {
+		return errors.Join(waitError, err)
+	}
+	return faultinjection.CheckEnd(waitError, string(text))
+}
+
 // kill kills the process and waits for its end.
 func (s *sidecarProcess) kill() {
 	if s.ended == nil {
@@ -135,17 +145,22 @@
 	return nil
 }
 
-// stop ends the process by SIGTERM.
+// stop ends the process by SIGTERM, which it has to do in order; that it has ended before by
+// itself is an error.
 func (s *sidecarProcess) stop() error {
 	if s.ended == nil {
 		return nil
 	}
-	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		return fmt.Errorf("sidecar %d: %w", s.index, err)
+	signalError := s.cmd.Process.Signal(syscall.SIGTERM)
+	if signalError != nil && !errors.Is(signalError, os.ErrProcessDone) {
+		return fmt.Errorf("sidecar %d: %w", s.index, signalError)
 	}
 	select {
 	case err := <-s.ended:
 		s.ended = nil
+		if err = s.checkEnd(err); err == nil && signalError != nil {
+			err = errors.New("status 0 before it was told to")
+		}
 		if err != nil {
 			return fmt.Errorf("sidecar %d ended with %w; its log: %s", s.index, err, s.lastLine())
 		}
--- a/internal/testing/soaktest/faults.go
+++ b/internal/testing/soaktest/faults.go
@@ -144,6 +144,9 @@
 		} else {
 			f.logEvent("SIGKILL %s", s.name)
 			f.ledger.increment("faults: kill")
+			if !s.process.Running() {
+				f.ledger.addViolation(InvariantProcess, "%s has ended by itself before it was killed: %v", s.name, s.process.EndError())
+			}
 			s.process.Kill()
 		}
 		wait.Sleep(ctx, restartDelay)
@@ -190,6 +193,10 @@
 		f.logEvent("SIGKILL %s, which has not ended", s.name)
 		f.ledger.increment("planned ends cut off")
 		s.process.Kill()
+		return
+	}
+	if err := s.process.EndError(); err != nil {
+		f.ledger.addViolation(InvariantProcess, "%s did not end in order: %v", s.name, err)
 	}
 }
 
