Drains: a stop command's children do not hold its caller once it has ended

A command that leaves a process behind holds the drain for as long.

Cause: exec.Cmd.Wait reads the output until its last holder closes it, and killing the command does not end its children.

Evidence: go test -run TestStopCommandThatLeavesProcesses ./internal/drain, before: "the command holds its caller 10s after it has ended", interrupted and ended.

Why it works: WaitDelay stops reading 1 s after the command's end. Its exit status counts as before; ErrWaitDelay comes only where that is 0.

--- a/internal/drain/livefleet.go
+++ b/internal/drain/livefleet.go
@@ -25,6 +25,9 @@
 	callTimeout    = time.Second
 	maxReportBytes = 4 << 10
 	maxOutputShown = 300 // bytes of a failed command's output
+	// stopOutputDelay is for how long a stop command's output is read after its end. A process that
+	// it has started may hold it open for ever.
+	stopOutputDelay = time.Second
 )
 
 // ReplicaStatuses asks every replica of the registry for its status. Those that do not answer
@@ -175,8 +178,10 @@
 	for i, arg := range f.StopCommand {
 		args[i] = names.Replace(arg)
 	}
-	out, err := exec.CommandContext(ctx, args[0], args[1:]...).CombinedOutput()
-	if err != nil {
+	cmd := exec.CommandContext(ctx, args[0], args[1:]...)
+	cmd.WaitDelay = stopOutputDelay
+	out, err := cmd.CombinedOutput()
+	if err != nil && !errors.Is(err, exec.ErrWaitDelay) { // which is that of a command that has ended with 0
 		line := strings.Join(strings.Fields(string(out)), " ")
 		return fmt.Errorf("%s: %w: %s", args[0], err, line[:min(len(line), maxOutputShown)])
 	}
--- a/internal/drain/livefleet_test.go
+++ b/internal/drain/livefleet_test.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -97,3 +99,54 @@
 		t.Errorf("a command that fails: got %v, want its output", err)
 	}
 }
+
+// A stop command that is interrupted, or has ended, does not hold its caller until the processes
+// end that it has started: they hold its output open.
+func TestStopCommandThatLeavesProcesses(t *testing.T) {
+	for name, x := range map[string]struct {
+		then      string
+		interrupt bool
+	}{"interrupted": {"wait", true}, "ended": {"exit 0", false}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			pidPath := filepath.Join(t.TempDir(), "pid")
+			f := &LiveFleet{StopCommand: []string{"sh", "-c", "sleep 1000 & echo $! > " + pidPath + ".new; mv " + pidPath + ".new " + pidPath + "; " + x.then}}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			ended := make(chan error, 1)
+			go func() { ended <- f.Stop(ctx, "m", "h") }()
+			pid := awaitPID(t, pidPath)
+			defer func() { _ = syscall.Kill(pid, syscall.SIGKILL) }() // it is the test's
+			if x.interrupt {
+				cancel()
+			}
+			select {
+			case err := <-ended:
+				if (err != nil) != x.interrupt {
+					t.Errorf("got the error %v, want one: %v", err, x.interrupt)
+				}
+			case <-time.After(10 * time.Second):
+				t.Error("the command holds its caller 10s after it has ended")
+				_ = syscall.Kill(pid, syscall.SIGKILL)
+				<-ended
+			}
+		})
+	}
+}
+
+// awaitPID reads a process id from a file that is still to be written.
+func awaitPID(t *testing.T, path string) (pid int) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		text, err := os.ReadFile(path)
+		if err == nil {
+			if pid, err = strconv.Atoi(strings.TrimSpace(string(text))); err != nil {
+				t.Fatal(err)
+			}
+			return pid
+		}
+		if time.Now().After(deadline) {
+			t.Fatal(err)
+		}
+	}
+}
