Shutdown: an end that is over just after its bound does not overtake its cut-off

What callers saw: a process whose end took just longer than its bound may log "shutdown: cut off" and exit with 0, with the stacks half written; docs/SHUTDOWN.md says 1. A test that looks at the status alone passes it.

Cause: End stopped the timer without looking at whether it had fired. The cut-off writes up to 1 MB of stacks before it exits, and main returned meanwhile.

Evidence: go test -run TestLateEndWaitsForCutOff ./internal/shutdown, before: "the end returned while it was being cut off".

Why it works: if the timer has fired, End waits for the exit, which never returns in a process.

--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,8 @@
 	begun   time.Time
 	timer   *time.Timer
 	exit    func(status int)
+	exited  chan struct{} // closed after exit, which returns in tests alone
+	ended   atomic.Bool
 
 	mu   sync.Mutex
 	step string // that is under way; empty between two
@@ -49,7 +52,7 @@
 }
 
 func begin(program string, bound time.Duration, exit func(status int)) *Sequence {
-	s := &Sequence{program: program, bound: bound, begun: time.Now(), exit: exit}
+	s := &Sequence{program: program, bound: bound, begun: time.Now(), exit: exit, exited: make(chan struct{})}
 	s.timer = time.AfterFunc(bound, s.cutOff)
 	return s
 }
@@ -64,9 +67,15 @@
 	return err
 }
 
-// End says that the last step has ended.
+// End says that the last step has ended. If the end is being cut off it does not return, so that
+// the process does not exit with another status.
 func (s *Sequence) End() {
-	s.timer.Stop()
+	if s.ended.Swap(true) {
+		return
+	}
+	if !s.timer.Stop() {
+		<-s.exited
+	}
 	slog.Info("shutdown: ended", "program", s.program, "took", time.Since(s.begun).Round(time.Millisecond))
 }
 
@@ -85,4 +94,5 @@
 	stacks := make([]byte, maxStacks)
 	_, _ = os.Stderr.Write(stacks[:runtime.Stack(stacks, true)]) // nobody can be told if it fails
 	s.exit(statusCutOff)
+	close(s.exited)
 }
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -42,3 +42,25 @@
 		})
 	}
 }
+
+// An end that is over just after its bound does not overtake the cut-off, which writes the stacks
+// and exits with its status: the caller would exit with 0.
+func TestLateEndWaitsForCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer slog.SetDefault(slog.Default())
+		slog.SetDefault(slog.New(slog.DiscardHandler))
+		exited := make(chan struct{})
+		s := begin("registry", 10*time.Second, func(int) {
+			time.Sleep(5 * time.Second) // stands for what comes before the exit
+			close(exited)
+		})
+		time.Sleep(11 * time.Second)
+		s.End()
+		select {
+		case <-exited:
+		default:
+			t.Error("the end returned while it was being cut off")
+			<-exited
+		}
+	})
+}
