Sidecar: a start that waits for its predecessor's socket ends in order at SIGTERM

What callers saw: a new process that is told to end while a predecessor that hangs (stopped, or short of time) does not answer it waits 2 s more and fails: status 1, "takeover: i/o timeout".

Cause: handover.Connect did not know of the stop.

Why it works: Connect closes its connection when the stop comes, and Run returns then; the predecessor, to which no "ready" was sent, keeps its place.

--- /dev/null
+++ b/cmd/sidecar-metrics/main_test.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"barleywick/internal/testing/faultinjection"
+	"barleywick/internal/testing/loopback"
+)
+
+// TestMain lets the test binary stand in for the program.
+func TestMain(m *testing.M) {
+	if os.Getenv("BARLEYWICK_RUN_MAIN") == "1" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// listenSilently returns the address of somebody who accepts connections and never says anything.
+func listenSilently(t *testing.T, network, address string) string {
+	t.Helper()
+	ln, err := net.Listen(network, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			if _, err := ln.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	address, err := loopback.FreeAddr()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
+}
+
+// A sidecar that is told to end while it starts, and waits for something that does not answer, ends
+// in order and soon, not after what it waits for.
+func TestEndWhileStarting(t *testing.T) {
+	const bound = 4 * time.Second // the page's is 13 s; what is waited for takes 2 to 60 s
+	silent := listenSilently(t, "tcp", "127.0.0.1:0")
+	var seeds []string
+	for range 8 {
+		seeds = append(seeds, listenSilently(t, "tcp", "127.0.0.1:0"))
+	}
+	socket := listenSilently(t, "unix", filepath.Join(t.TempDir(), "takeover.sock"))
+	for name, x := range map[string]struct {
+		table any
+		key   string
+		until string // what its log says then
+	}{
+		"members do not answer":       {map[string]any{"fleet": "t", "listen": freeAddr(t), "seeds": seeds, "folder": t.TempDir()}, "membership", "msg=serving"},
+		"member address in use":       {map[string]any{"fleet": "t", "listen": silent}, "membership", "not a member yet"},
+		"registry does not answer":    {map[string]any{"registry": []string{silent}, "folder": t.TempDir()}, "policy", "msg=serving"},
+		"predecessor does not answer": {map[string]any{"socket": socket, "ready_ms": 60000}, "takeover", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			text, err := json.Marshal(map[string]any{
+				"name": "n0", "listen": freeAddr(t), "discovery": silent, "seed": "ff", x.key: x.table,
+				"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256},
+				"settings": json.RawMessage(`{"balancers":1,"caps":{"most_tries":3},"classes":[{"name":"a","aim_ms":500,"hard_limit_ms":1000}]}`),
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			path := filepath.Join(t.TempDir(), "config.json")
+			if err := os.WriteFile(path, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			process := &faultinjection.Process{Name: "sidecar", NewCommand: func() *exec.Cmd {
+				cmd := exec.Command(os.Args[0], "--log-level", "debug")
+				cmd.Env = append(os.Environ(), "BARLEYWICK_RUN_MAIN=1", "ROUTER_CONFIG="+path)
+				return cmd
+			}}
+			if err := process.Start(); err != nil {
+				t.Fatal(err)
+			}
+			defer process.Kill()
+			for deadline := time.Now().Add(20 * time.Second); !strings.Contains(process.Output(), x.until) || !holdsSocket(process.PID(), x.until == ""); time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatalf("it does not come so far:\n%s", process.Output())
+				}
+			}
+			begun := time.Now()
+			err = process.Terminate(bound)
+			t.Logf("ended after %v", time.Since(begun).Round(time.Millisecond))
+			if err != nil {
+				t.Errorf("it did not end in order: %v\n%s", err, process.Output())
+			}
+		})
+	}
+}
+
+// holdsSocket reports whether a process has a socket open, if it is asked for.
+func holdsSocket(pid int, asked bool) bool {
+	if !asked {
+		return true
+	}
+	folder := fmt.Sprintf("/proc/%d/fd", pid)
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return false
+	}
+	for _, entry := range entries {
+		if target, err := os.Readlink(filepath.Join(folder, entry.Name())); err == nil && strings.HasPrefix(target, "socket:") {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/sidecar/handover/handover_test.go
+++ b/internal/sidecar/handover/handover_test.go
@@ -73,7 +73,7 @@
 		nc.Close()
 	}
 	connect := func() (p *Predecessor) {
-		sidecartest.Eventually(t, "the server is free again", func() bool { p, err = Connect(c); return err == nil })
+		sidecartest.Eventually(t, "the server is free again", func() bool { p, err = Connect(t.Context(), c); return err == nil })
 		return p
 	}
 	p := connect()
@@ -93,7 +93,7 @@
 	}
 	p.Close()
 	server.Close()
-	if p, err := Connect(c); p != nil || !errors.Is(err, ErrNoPredecessor) {
+	if p, err := Connect(t.Context(), c); p != nil || !errors.Is(err, ErrNoPredecessor) {
 		t.Errorf("after the end: %v, error %v; want ErrNoPredecessor", p, err)
 	}
 	if _, err := os.Stat(c.Socket); !errors.Is(err, os.ErrNotExist) && !server.handedOver {
@@ -128,7 +128,7 @@
 		}
 		accepted <- old
 	}()
-	if p, err = Connect(c); err != nil {
+	if p, err = Connect(t.Context(), c); err != nil {
 		t.Fatal(err)
 	}
 	old = sidecartest.Await(t, "the old process", accepted)
@@ -196,7 +196,7 @@
 		t.Fatal(err)
 	}
 	defer server.Close()
-	p, err := Connect(c)
+	p, err := Connect(t.Context(), c)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -210,7 +210,7 @@
 		t.Errorf("the place was handed over to a process that has died: error %v", err)
 	}
 	sidecartest.Eventually(t, "the server is free again", func() bool {
-		again, err := Connect(c)
+		again, err := Connect(t.Context(), c)
 		if err != nil {
 			return false
 		}
--- a/internal/sidecar/handover/predecessor.go
+++ b/internal/sidecar/handover/predecessor.go
@@ -37,11 +37,11 @@
 	ReserveForPredecessor([]policy.BulkheadCapacity)
 }
 
-// Connect asks the process that serves now for its listening socket. It returns ErrNoPredecessor
-// where there is none.
-func Connect(c Config) (*Predecessor, error) {
+// Connect asks the process that serves now for its listening socket, until ctx ends. It returns
+// ErrNoPredecessor where there is none.
+func Connect(ctx context.Context, c Config) (*Predecessor, error) {
 	d := net.Dialer{Timeout: messageTimeout}
-	conn, err := d.Dial("unix", c.Socket)
+	conn, err := d.DialContext(ctx, "unix", c.Socket)
 	if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, ErrNoPredecessor
 	}
@@ -49,6 +49,7 @@
 		return nil, fmt.Errorf("takeover: %w", err)
 	}
 	p := &Predecessor{conn: conn.(*net.UnixConn), readyTimeout: c.ReadyTimeout}
+	defer context.AfterFunc(ctx, p.Close)()
 	if err := p.receiveListener(c); err != nil {
 		conn.Close()
 		return nil, fmt.Errorf("takeover: %w", err)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -51,11 +51,14 @@
 		set(&o)
 	}
 	if c.Takeover != nil {
-		old, err := handover.Connect(c.Handover())
+		old, err := handover.Connect(stop, c.Handover())
 		if err == nil {
 			defer old.Close()
 			return serve(stop, reload, c, o, old.Listener(), old)
 		}
+		if stop.Err() != nil {
+			return nil // the predecessor keeps its place
+		}
 		if !errors.Is(err, handover.ErrNoPredecessor) {
 			return err
 		}
