Registry: a replica that is ended in its first start starts again on its folder

What operators saw: a replica killed, or cut off, in its first start never took part again. Its folder was refused ("not a replica's", "corrupt"), or it started and logged "no known peers, aborting election".

Cause: the first start is no single step. An identity that was being written was left as a stranger's file; BoltDB creates its file empty and fills it afterwards; and a folder with a log counted as founded, though the group's first configuration comes three transactions later. With the term stored and no entry, raft.BootstrapCluster refuses for good.

A file that was cut short is refused as before.

--- a/internal/registry/server/compat_test.go
+++ b/internal/registry/server/compat_test.go
@@ -15,6 +15,7 @@
 	"testing"
 
 	"barleywick/internal/registry"
+	"barleywick/internal/testing/diskgate"
 	"barleywick/internal/testing/fixture"
 )
 
@@ -34,6 +35,9 @@
 
 // runReplica is what cmd/registry does.
 func runReplica(config string) error {
+	if err := diskgate.Enter(); err != nil {
+		return err
+	}
 	stop, done := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer done()
 	signal.Ignore(syscall.SIGXFSZ) // a disk that a test has filled
--- a/internal/registry/server/data_folder.go
+++ b/internal/registry/server/data_folder.go
@@ -7,12 +7,16 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"strings"
 )
 
 const (
 	identityFile = "replica.json"
 	identityForm = 1
 	logFile      = "raft.db"
+
+	// identityTempPrefix begins the names of identity files that are being written.
+	identityTempPrefix = "." + identityFile
 )
 
 // identity is the contents of identityFile: whose data folder it is.
@@ -51,14 +55,22 @@
 	return i, nil
 }
 
-// claimEmptyFolder writes the identity into a folder that must hold nothing.
+// claimEmptyFolder writes the identity into a folder that must hold nothing but what an
+// earlier claim has left that was cut short.
 func claimEmptyFolder(dir, path string, i identity) error {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return fmt.Errorf("data folder: %w", err)
 	}
-	if len(entries) > 0 {
-		return fmt.Errorf("data folder %s: it holds %s but no %s: it is not a replica's", dir, entries[0].Name(), identityFile)
+	for _, entry := range entries {
+		if !strings.HasPrefix(entry.Name(), identityTempPrefix) {
+			return fmt.Errorf("data folder %s: it holds %s but no %s: it is not a replica's", dir, entry.Name(), identityFile)
+		}
+	}
+	for _, entry := range entries {
+		if err := os.Remove(filepath.Join(dir, entry.Name())); err != nil {
+			return fmt.Errorf("data folder: %w", err)
+		}
 	}
 	return writeIdentity(path, i)
 }
@@ -69,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	f, err := os.CreateTemp(filepath.Dir(path), "."+identityFile)
+	f, err := os.CreateTemp(filepath.Dir(path), identityTempPrefix)
 	if err != nil {
 		return fmt.Errorf("data folder: %w", err)
 	}
--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -151,7 +151,7 @@
 	r.transport = newLeaderTransport(network,
 		func(term uint64) error { return r.checkLeadershipClaim(started.Load(), term) },
 		func(id raft.ServerID) bool { return isVoter(started.Load(), id) })
-	if r.storage.isNew && !c.Join {
+	if (r.storage.isNew || r.storage.unfounded) && !c.Join {
 		if err := r.bootstrap(c, settings); err != nil {
 			r.transport.Close()
 			return fmt.Errorf("found the group: %w", err)
@@ -186,13 +186,18 @@
 }
 
 // bootstrap writes the group's first configuration to an empty log. Every founding
-// replica writes the same.
+// replica writes the same. A founding that was cut short is completed.
 func (r *Replica) bootstrap(c *Config, settings *raft.Config) error {
 	var group raft.Configuration
 	for _, m := range c.Replicas {
 		group.Servers = append(group.Servers, raft.Server{ID: raft.ServerID(m.ID), Address: raft.ServerAddress(m.Raft)})
 	}
-	return raft.BootstrapCluster(settings, r.storage.log, r.storage.bolt, r.storage.snapshots, r.transport, group)
+	err := raft.BootstrapCluster(settings, r.storage.log, r.storage.bolt, r.storage.snapshots, r.transport, group)
+	if errors.Is(err, raft.ErrCantBootstrap) && r.storage.unfounded {
+		// It was ended between the two writes: there is a term, and no entry.
+		return r.storage.log.StoreLog(&raft.Log{Index: 1, Term: 1, Type: raft.LogConfiguration, Data: raft.EncodeConfiguration(group)})
+	}
+	return err
 }
 
 // PrepareShutdown hands leadership over and ends the watches and the long polls. Calls are
--- a/internal/registry/server/storage.go
+++ b/internal/registry/server/storage.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -16,6 +17,7 @@
 const (
 	lockTimeout       = time.Second // for another process to release the log
 	retainedSnapshots = 2           // one may prove corrupt
+	unfinishedSuffix  = ".new"      // of a log's file that is being made
 )
 
 // storage is what a replica has on disk: Raft's log, terms and votes in one BoltDB file,
@@ -26,6 +28,7 @@
 	terms     *waitingTermStore // in bolt
 	snapshots raft.SnapshotStore
 	isNew     bool // the folder held no log
+	unfounded bool // the folder held a log without history
 }
 
 // openStorage opens the data folder. It refuses one that is another replica's or that
@@ -39,10 +42,13 @@
 		return nil, err
 	}
 	path := filepath.Join(c.DataDir, logFile)
-	if !isNew {
-		if err := checkLogFile(path); err != nil {
-			return nil, err
-		}
+	if isNew {
+		err = createLogFile(path)
+	} else {
+		err = checkLogFile(path)
+	}
+	if err != nil {
+		return nil, err
 	}
 	store, err := raftboltdb.New(raftboltdb.Options{Path: path, BoltOptions: &bolt.Options{Timeout: lockTimeout}})
 	if errors.Is(err, bolt.ErrTimeout) {
@@ -60,9 +66,59 @@
 		s.Close()
 		return nil, fmt.Errorf("snapshots in %s: %w", c.DataDir, err)
 	}
+	if !isNew {
+		if s.unfounded, err = s.lacksHistory(); err != nil {
+			s.Close()
+			return nil, fmt.Errorf("log %s: %w", path, err)
+		}
+	}
 	return s, nil
 }
 
+// lacksHistory reports whether there is neither an entry nor a snapshot: the replica was
+// ended before it had founded its group, and nobody has sent it the group's log.
+func (s *storage) lacksHistory() (bool, error) {
+	last, err := s.log.LastIndex()
+	if err != nil || last > 0 {
+		return false, err
+	}
+	snapshots, err := s.snapshots.List()
+	return len(snapshots) == 0, err
+}
+
+// createLogFile makes an empty log at a path, completely or not at all: a replica that is
+// ended meanwhile begins anew.
+func createLogFile(path string) error {
+	unfinished := path + unfinishedSuffix
+	if err := os.Remove(unfinished); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("log %s: %w", path, err)
+	}
+	store, err := raftboltdb.New(raftboltdb.Options{Path: unfinished, BoltOptions: &bolt.Options{Timeout: lockTimeout}})
+	if err != nil {
+		return fmt.Errorf("log %s: %w", path, err)
+	}
+	err = store.Close()
+	if err == nil {
+		err = os.Rename(unfinished, path)
+	}
+	if err == nil {
+		err = syncFolder(filepath.Dir(path))
+	}
+	if err != nil {
+		return fmt.Errorf("log %s: %w", path, err)
+	}
+	return nil
+}
+
+// syncFolder has the disk keep the names of a folder's files.
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(folder.Sync(), folder.Close())
+}
+
 // Close releases the log. The other parts hold no resources.
 func (s *storage) Close() error { return s.bolt.Close() }
 
