Registry: the end of a replica does not wait for a disk that does not return

What operators saw: replicas that were told to end beside programs that write to the same disk took 5 to 18 s, and one was cut off at its bound of 15 s, status 1.

Cause: Close waits for Raft, and Raft's own goroutine for the disk. One request for a vote is three transactions, six syncs in a row (term, vote's term, candidate); five of them began after the end had begun. On a disk of 3 s a sync that is 18 s.

Stacks of a cut-off on a real slow disk show the same path (waitingTermStore.Set, bbolt, Fdatasync).

Why it works: once the end has begun, writes of the log, the term and the vote that have not begun are refused, also those that wait for the one before, and Raft takes each for one that could not be stored. One that is under way is waited for 2 s; then the replica ends without it, with status 0, and logs which. Where Raft waits for anything but the disk, the watchdog still cuts the end off. Calls of 1 s or more are logged.

What no process can shorten is the one call in which a thread stands when the process exits.

--- a/internal/registry/server/checked_log.go
+++ b/internal/registry/server/checked_log.go
@@ -43,24 +43,25 @@
 		withChecksum.Data = binary.BigEndian.AppendUint32(data, entryChecksum(entry, entry.Data))
 		checked[i] = &withChecksum
 	}
-	return l.noted(func() error { return l.BoltStore.StoreLogs(checked) })
+	return l.write("log entries", func() error { return l.BoltStore.StoreLogs(checked) })
 }
 
 // DeleteRange deletes the entries from one index to another, both included.
 func (l *checkedLog) DeleteRange(first, last uint64) error {
-	return l.noted(func() error { return l.BoltStore.DeleteRange(first, last) })
+	return l.write("log compaction", func() error { return l.BoltStore.DeleteRange(first, last) })
 }
 
-// noted runs a write, and keeps what became of it.
-func (l *checkedLog) noted(write func() error) error {
-	defer l.calls.begin()()
-	err := write()
-	if err != nil {
-		l.lastWriteError.Store(&err)
-	} else {
-		l.lastWriteError.Store(nil)
-	}
-	return err
+// write runs a write, and keeps what became of it.
+func (l *checkedLog) write(name string, write func() error) error {
+	return l.calls.write(name, func() error {
+		err := write()
+		if err != nil {
+			l.lastWriteError.Store(&err)
+		} else {
+			l.lastWriteError.Store(nil)
+		}
+		return err
+	})
 }
 
 // GetLog reads an entry, and returns an error if it is not what was written.
--- a/internal/registry/server/compat_test.go
+++ b/internal/registry/server/compat_test.go
@@ -16,6 +16,7 @@
 
 	"barleywick/internal/registry"
 	"barleywick/internal/testing/diskgate"
+	"barleywick/internal/testing/faultinjection"
 	"barleywick/internal/testing/fixture"
 )
 
@@ -40,8 +41,10 @@
 	}
 	stop, done := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer done()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGXFSZ) // a disk that a test has filled
-	return Run(stop, nil, config)
+	return Run(stop, reload, config)
 }
 
 // process is a replica that runs as a process of its own.
@@ -89,7 +92,7 @@
 	if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
 		p.t.Fatal(err)
 	}
-	if err := p.command.Wait(); err != nil {
+	if err := faultinjection.CheckEnd(p.command.Wait(), p.output.String()); err != nil {
 		p.t.Errorf("a replica that was asked to end: %v", err)
 	}
 	p.command = nil
--- a/internal/registry/server/disk_calls.go
+++ b/internal/registry/server/disk_calls.go
@@ -1,42 +1,91 @@
 package server
 
 import (
+	"errors"
+	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// diskCalls knows for how long the writes to a replica's disk that are under way have been
-// running. A disk may hang without an error, and Raft's own goroutine hangs with it.
+// slowDiskCall is how long a call of the disk takes at least to be logged as slow.
+const slowDiskCall = time.Second
+
+// errDiskCallsEnded refuses a write to the disk of a replica that ends.
+var errDiskCallsEnded = errors.New("the replica ends and begins no more writes to its disk")
+
+// diskCall is a call of the disk that is under way.
+type diskCall struct {
+	name    string
+	started time.Time
+}
+
+// diskCalls knows the calls of a replica's disk that are under way, and for how long they
+// have been running. A disk may hang without an error, and Raft's own goroutine hangs with
+// it.
 type diskCalls struct {
+	writing sync.Mutex  // BoltDB takes one write at a time
+	ended   atomic.Bool // no write may begin any more
+
 	mu      sync.Mutex
 	next    uint64
-	started map[uint64]time.Time
+	running map[uint64]diskCall
+}
+
+// write runs a write to the log's file once those before it have returned, unless the
+// replica ends meanwhile.
+func (c *diskCalls) write(name string, call func() error) error {
+	defer c.begin(name)()
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.ended.Load() {
+		return errDiskCallsEnded
+	}
+	return call()
 }
 
-// begin notes the start of a write. The caller calls end when it has returned.
-func (c *diskCalls) begin() (end func()) {
+// begin notes the start of a call. The caller calls end when it has returned.
+func (c *diskCalls) begin(name string) (end func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.started == nil {
-		c.started = make(map[uint64]time.Time)
+	if c.running == nil {
+		c.running = make(map[uint64]diskCall)
 	}
 	id := c.next
 	c.next++
-	c.started[id] = time.Now()
+	started := time.Now()
+	c.running[id] = diskCall{name, started}
 	return func() {
 		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.started, id)
+		delete(c.running, id)
+		c.mu.Unlock()
+		if took := time.Since(started); took >= slowDiskCall {
+			slog.Warn("registry: slow disk", "call", name, "took", took.Round(time.Millisecond))
+		}
 	}
 }
 
-// longest returns for how long the oldest write under way has been running; 0 if there is
-// none.
-func (c *diskCalls) longest(now time.Time) (longest time.Duration) {
+// end refuses writes that have not begun.
+func (c *diskCalls) end() { c.ended.Store(true) }
+
+// oldest returns the call under way that began first, if there is any.
+func (c *diskCalls) oldest() (oldest diskCall, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, started := range c.started {
-		longest = max(longest, now.Sub(started))
+	for _, call := range c.running {
+		if !ok || call.started.Before(oldest.started) {
+			oldest, ok = call, true
+		}
+	}
+	return oldest, ok
+}
+
+// longest returns for how long the oldest call under way has been running; 0 if there is
+// none.
+func (c *diskCalls) longest(now time.Time) time.Duration {
+	oldest, ok := c.oldest()
+	if !ok {
+		return 0
 	}
-	return longest
+	return max(0, now.Sub(oldest.started))
 }
--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -27,6 +27,10 @@
 	// elect one by themselves if none does.
 	transferTimeout = 2 * time.Second
 
+	// diskEndTimeout is how long a replica that ends waits for calls of its disk.
+	diskEndTimeout      = 2 * time.Second
+	diskEndPollInterval = 100 * time.Millisecond
+
 	raftPoolSize       = 3 // connections kept to each other replica
 	raftTimeout        = 2 * time.Second
 	commitsPerElection = 4 // commit messages at least within an election timeout
@@ -232,15 +236,41 @@
 	r.endPolls()
 	r.broadcaster.close()
 	r.cancel()
-	close(r.storage.terms.closing)
+	r.storage.endWrites()
 	transportErr := r.transport.Close()
-	raftErr := r.raft.Shutdown().Error()
+	unfinished, raftErr := r.endRaft()
 	close(r.raftEnded)
 	r.background.Wait()
 	r.peerClient.CloseIdleConnections()
+	if unfinished {
+		return errors.Join(raftErr, transportErr) // the log is locked until the disk has finished
+	}
 	return errors.Join(raftErr, transportErr, r.storage.Close())
 }
 
+// endRaft ends Raft. It waits for a call of the disk that is under way for diskEndTimeout at
+// most: nobody has been told of what such a call stores, and the log takes it whole or not
+// at all, as in a crash. unfinished says that there is one.
+func (r *Replica) endRaft() (unfinished bool, err error) {
+	ended := make(chan error, 1)
+	go func() { ended <- r.raft.Shutdown().Error() }() // ends with the process at the latest
+	timeout := time.NewTimer(diskEndTimeout)
+	defer timeout.Stop()
+	for {
+		select {
+		case err := <-ended:
+			return false, err
+		case <-timeout.C:
+		}
+		if call, ok := r.storage.terms.calls.oldest(); ok {
+			slog.Warn("registry: ends without a write that its disk has not finished",
+				"call", call.name, "running", time.Since(call.started).Round(time.Millisecond))
+			return true, nil
+		}
+		timeout.Reset(diskEndPollInterval) // it is not the disk that Raft waits for
+	}
+}
+
 // await waits for what became of an order to Raft. At its end the library leaves unanswered
 // what its log has committed and its state machine has not applied.
 func (r *Replica) await(order raft.Future) error {
--- a/internal/registry/server/slow_disk_test.go
+++ b/internal/registry/server/slow_disk_test.go
@@ -18,6 +18,7 @@
 
 	"barleywick/internal/registry"
 	"barleywick/internal/testing/diskgate"
+	"barleywick/internal/testing/faultinjection"
 )
 
 // gatedReplica is a replica that runs as a process of its own, whose disk calls a test holds.
@@ -112,11 +113,16 @@
 	}
 }
 
-// awaitHeld waits until a call is held.
+// awaitHeld waits until a call is held. It must not be one of the main thread, which the kernel
+// picks for a signal to the process: SIGTERM would not be heard until the call has returned.
 func (r *gatedReplica) awaitHeld() diskgate.Call {
 	r.t.Helper()
 	eventually(r.t, "a call of the disk is held", func() bool { return len(r.Held()) > 0 })
-	return r.Held()[0]
+	call := r.Held()[0]
+	if call.Thread == r.command.Process.Pid {
+		r.t.Errorf("the main thread makes a call of the disk: %v", call)
+	}
+	return call
 }
 
 // sendTerm tells the process to end.
@@ -135,11 +141,8 @@
 	case err := <-r.ended:
 		r.command = nil
 		r.t.Logf("ended %v after SIGTERM: %v", time.Since(told).Round(time.Millisecond), err)
-		if err != nil {
-			r.t.Errorf("the replica's exit: %v, want status 0", err)
-		}
-		if strings.Contains(r.log.String(), "shutdown: cut off") {
-			r.t.Error("the end was cut off")
+		if err := faultinjection.CheckEnd(err, r.log.String()); err != nil {
+			r.t.Errorf("the replica's end: %v, want status 0 and no cut-off", err)
 		}
 	case <-time.After(time.Until(told.Add(endBound + time.Second))): // a second for the exit
 		r.t.Errorf("the replica has not ended %v after SIGTERM; held: %v; %s", endBound+time.Second, r.Held(), r.signalState())
--- a/internal/registry/server/storage.go
+++ b/internal/registry/server/storage.go
@@ -62,10 +62,12 @@
 		s.Close()
 		return nil, fmt.Errorf("log %s: %w", path, err)
 	}
-	if s.snapshots, err = raft.NewFileSnapshotStoreWithLogger(c.DataDir, retainedSnapshots, logger); err != nil {
+	snapshots, err := raft.NewFileSnapshotStoreWithLogger(c.DataDir, retainedSnapshots, logger)
+	if err != nil {
 		s.Close()
 		return nil, fmt.Errorf("snapshots in %s: %w", c.DataDir, err)
 	}
+	s.snapshots = &timedSnapshotStore{snapshots, s.terms.calls}
 	if !isNew {
 		if s.unfounded, err = s.lacksHistory(); err != nil {
 			s.Close()
@@ -119,6 +121,13 @@
 	return errors.Join(folder.Sync(), folder.Close())
 }
 
+// endWrites refuses the log, the terms and the votes that have not begun to be written.
+// Raft takes each of them for one that could not be stored.
+func (s *storage) endWrites() {
+	s.terms.calls.end()
+	close(s.terms.closing)
+}
+
 // Close releases the log. The other parts hold no resources.
 func (s *storage) Close() error { return s.bolt.Close() }
 
--- a/internal/registry/server/term_store.go
+++ b/internal/registry/server/term_store.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"errors"
 	"log/slog"
 	"runtime"
 	"sync"
@@ -38,21 +39,21 @@
 
 // Set stores a value.
 func (s *waitingTermStore) Set(key, value []byte) error {
-	defer s.calls.begin()()
-	return s.StableStore.Set(key, value)
+	return s.calls.write("vote", func() error { return s.StableStore.Set(key, value) })
 }
 
 // SetUint64 stores a number. For the term it returns only once that is on disk.
 func (s *waitingTermStore) SetUint64(key []byte, value uint64) error {
 	if string(key) != termKey {
-		defer s.calls.begin()()
-		return s.StableStore.SetUint64(key, value)
+		return s.calls.write("vote", func() error { return s.StableStore.SetUint64(key, value) })
 	}
 	err := s.storeTerm(key, value)
 	if err == nil {
 		return nil
 	}
-	slog.Error("raft: term not stored, replica takes no part until it is", "term", value, "err", err)
+	if !errors.Is(err, errDiskCallsEnded) {
+		slog.Error("raft: term not stored, replica takes no part until it is", "term", value, "err", err)
+	}
 	s.waiting.Add(1)
 	defer s.waiting.Add(-1)
 	for {
@@ -78,8 +79,7 @@
 	if s.wanted = max(s.wanted, term); term <= s.stored {
 		return nil
 	}
-	defer s.calls.begin()()
-	err := s.StableStore.SetUint64(key, s.wanted)
+	err := s.calls.write("term", func() error { return s.StableStore.SetUint64(key, s.wanted) })
 	if err == nil {
 		s.stored = s.wanted
 	}
