Registry: SIGTERM is heard while a replica starts or reads its configuration again

What operators saw: a replica that was told to end while it started heard it when the start was over; with a disk whose syncs take a minute, after minutes. None of that time stood in the log or in the bound.

Cause: Run opened storage, Raft and membership, and read the file at SIGHUP, on the goroutine that looks for SIGTERM; the watchdog began after that. And the kernel gives a signal to the main thread first, which takes none in a call of the disk that hangs; the Go runtime may run any call there.

Why it works: the start and each later read have a goroutine of their own. The main goroutine keeps the main thread and only waits; the tests check that no held call is on it.

--- a/cmd/registry/main.go
+++ b/cmd/registry/main.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 
 	"barleywick/internal/cli"
@@ -27,6 +28,10 @@
 
 `
 
+// The main goroutine keeps the main thread, and only waits. The kernel picks that thread for a
+// signal to the process: in a call of a disk that hangs it would not take SIGTERM.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	os.Exit(cli.Report("registry", run(os.Args[1:], os.Stderr), os.Stderr))
 }
--- a/internal/registry/server/harness_test.go
+++ b/internal/registry/server/harness_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -19,6 +20,13 @@
 	"barleywick/internal/registry/client"
 )
 
+// The test's process, as a replica, keeps its main thread as cmd/registry does.
+func init() {
+	if os.Getenv(processVariable) != "" {
+		runtime.LockOSThread()
+	}
+}
+
 func TestMain(m *testing.M) {
 	if config := os.Getenv(processVariable); config != "" {
 		if err := runReplica(config); err != nil {
--- a/internal/registry/server/run.go
+++ b/internal/registry/server/run.go
@@ -25,40 +25,106 @@
 
 // Run serves one replica by the configuration file at path until stop is done. At each
 // value of reload it reads the file again.
-func Run(stop context.Context, reload <-chan os.Signal, path string) (err error) {
-	c, err := LoadConfig(path)
-	if err != nil {
+func Run(stop context.Context, reload <-chan os.Signal, path string) error {
+	s := beginStart(path)
+	select {
+	case <-s.over:
+	case <-stop.Done():
+		return s.end()
+	}
+	if s.err != nil {
+		return s.err
+	}
+	slog.Info("registry: serving", "group", s.config.Group, "id", s.config.ID, "http", s.config.Self().HTTP, "raft", s.config.Self().Raft)
+	server := s.replica.HTTPServer()
+	err := s.replica.serve(stop, reload, server, s.listener, path)
+	sequence := beginEnd()
+	defer sequence.End()
+	return errors.Join(err, s.replica.end(sequence, server, s.leave))
+}
+
+// replicaStart is the start of a replica as a process. It may take long: it reads files, and
+// waits for its disk to sync.
+type replicaStart struct {
+	over chan struct{} // closed when the start is over; the rest is set then
+
+	config   *Config
+	listener net.Listener // on which callers connect
+	replica  *Replica
+	leave    func() // ends its membership of the fleet
+	err      error
+}
+
+// beginStart begins to start a replica by the configuration file at path.
+func beginStart(path string) *replicaStart {
+	s := &replicaStart{over: make(chan struct{})}
+	go func() { // ends with the process at the latest
+		defer close(s.over)
+		s.err = s.start(path)
+	}()
+	return s
+}
+
+func (s *replicaStart) start(path string) (err error) {
+	if s.config, err = LoadConfig(path); err != nil {
 		return err
 	}
-	self := c.Self()
-	ln, err := net.Listen("tcp", self.HTTP)
-	if err != nil {
+	self := s.config.Self()
+	if s.listener, err = net.Listen("tcp", self.HTTP); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	defer ln.Close()
+	defer func() {
+		if err != nil {
+			s.listener.Close()
+		}
+	}()
 	peers, err := net.Listen("tcp", self.Raft)
 	if err != nil {
 		return fmt.Errorf("listen for replicas: %w", err)
 	}
-	r, err := Open(c, peers)
-	if err != nil {
+	if s.replica, err = Open(s.config, peers); err != nil {
 		return err
 	}
-	leave, err := r.joinMembership()
-	if err != nil {
-		return errors.Join(err, r.Close())
+	if s.leave, err = s.replica.joinMembership(); err != nil {
+		return errors.Join(err, s.replica.Close())
 	}
-	slog.Info("registry: serving", "group", c.Group, "id", c.ID, "http", self.HTTP, "raft", self.Raft)
-	server := r.HTTPServer()
-	err = r.serve(stop, reload, server, ln, path)
-	return errors.Join(err, r.end(server, leave))
+	return nil
 }
 
-// end ends the replica step by step.
-func (r *Replica) end(server *http.Server, leave func()) error {
-	slog.Info("registry: shutting down")
-	sequence := shutdown.Begin("registry", endBound)
+// end ends a replica that was told to end before its start was over. The start is waited
+// for as long as calls of the disk are: what it would store is stored whole or not at all,
+// and nobody has been told of it.
+func (s *replicaStart) end() error {
+	sequence := beginEnd()
 	defer sequence.End()
+	started := false
+	_ = sequence.Step("start", func() error {
+		select {
+		case <-s.over:
+			started = true
+		case <-time.After(diskEndTimeout):
+			slog.Warn("registry: ends before its start is over")
+		}
+		return nil
+	})
+	if !started {
+		return nil
+	}
+	if s.err != nil {
+		return s.err
+	}
+	s.listener.Close()
+	return s.replica.end(sequence, s.replica.HTTPServer(), s.leave)
+}
+
+// beginEnd begins the end of the process, which has a bound.
+func beginEnd() *shutdown.Sequence {
+	slog.Info("registry: shutting down")
+	return shutdown.Begin("registry", endBound)
+}
+
+// end ends the replica step by step.
+func (r *Replica) end(sequence *shutdown.Sequence, server *http.Server, leave func()) error {
 	steps := []struct {
 		name string
 		run  func() error
@@ -89,14 +155,23 @@
 func (r *Replica) serve(stop context.Context, reload <-chan os.Signal, server *http.Server, ln net.Listener, path string) error {
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(netutil.LimitListener(ln, r.maxConnections)) }()
+	go r.followReloads(stop, reload, path) // not awaited: a read may never return
+	select {
+	case err := <-served:
+		return fmt.Errorf("serve: %w", err)
+	case <-stop.Done():
+		return nil
+	}
+}
+
+// followReloads reads the configuration file again at each value of reload, until stop is done.
+func (r *Replica) followReloads(stop context.Context, reload <-chan os.Signal, path string) {
 	for {
 		select {
-		case err := <-served:
-			return fmt.Errorf("serve: %w", err)
-		case <-stop.Done():
-			return nil
 		case <-reload:
 			r.reloadFile(path)
+		case <-stop.Done():
+			return
 		}
 	}
 }
