Torture test: a process that is cut off or ends with another status is a violation

What was hidden: since a replica that hangs is cut off after 15 s, and stopProcess, which waits 20 s, looked only at whether the process was gone. So TestTorture passed the fault that it had found.

TestTorture is unchanged.

--- a/internal/testing/chaostest/processes.go
+++ b/internal/testing/chaostest/processes.go
@@ -1,6 +1,7 @@
 package chaostest
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -8,12 +9,13 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"barleywick/internal/testing/faultinjection"
 )
 
 const (
 	// stopTimeout bounds how long a process takes to end after SIGTERM.
-	stopTimeout      = 20 * time.Second
-	stopPollInterval = pollInterval / 10
+	stopTimeout = 20 * time.Second
 	// dumpTime is how long a process is given to log its goroutines.
 	dumpTime = 4 * pollInterval
 	// allowedMemoryGrowth is by how much a process's memory may grow over a run, beyond a half:
@@ -81,20 +83,25 @@
 }
 
 // stopProcess ends a process with SIGTERM. One that does not end is made to log its goroutines.
+// One that ends otherwise than with status 0, as one does whose end is cut off, is an error, too;
+// its log is kept.
 func (r *run) stopProcess(name string) error {
 	p := r.Processes[name]
 	_ = p.Signal(syscall.SIGCONT) // it fails if the process has ended, and so does SIGTERM then
 	if err := p.Signal(syscall.SIGTERM); err != nil {
+		r.keepLogTail(name)
 		return fmt.Errorf("%s has ended before: %w", name, err)
 	}
-	for deadline := time.Now().Add(stopTimeout); p.Running(); time.Sleep(stopPollInterval) {
-		if time.Now().After(deadline) {
-			_ = p.Signal(syscall.SIGQUIT) // it fails if the process has just ended
-			time.Sleep(dumpTime)
-			r.keepLogTail(name)
-			p.Kill()
-			return fmt.Errorf("%s did not end within %v", name, stopTimeout)
-		}
+	switch err := p.AwaitEnd(stopTimeout); {
+	case errors.Is(err, faultinjection.ErrRunning):
+		_ = p.Signal(syscall.SIGQUIT) // it fails if the process has just ended
+		_ = p.AwaitEnd(dumpTime)      // it may hang
+		p.Kill()
+		r.keepLogTail(name)
+		return fmt.Errorf("%s did not end within %v", name, stopTimeout)
+	case err != nil:
+		r.keepLogTail(name)
+		return fmt.Errorf("%s was told to end and ended with %w", name, err)
 	}
 	return nil
 }
@@ -109,10 +116,11 @@
 		for range names {
 			if err := <-ended; err != nil {
 				r.violated("a process did not end as it should: %v", err)
+				continue
 			}
+			r.count("processes that ended in order", 1)
 		}
 	}
-	r.count("processes that ended in order", uint64(len(r.Processes)))
 	for name, p := range r.Processes {
 		if p.Running() {
 			r.violated("%s is left", name)
--- a/internal/testing/chaostest/report.go
+++ b/internal/testing/chaostest/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -71,6 +72,19 @@
 	r.report.Counts[what] += n
 }
 
+// cutOffLine begins the stacks of all goroutines in the log of a process whose end is cut off.
+const cutOffLine = "shutdown: cut off"
+
+// tail returns the end of a log. Of an end that was cut off it has what stands around the line
+// that says so, as the stacks after it may be long.
+func tail(log string) string {
+	end := len(log)
+	if at := strings.LastIndex(log, cutOffLine); at >= 0 {
+		end = min(end, at+maxLogTail*3/4)
+	}
+	return log[max(0, end-maxLogTail):end]
+}
+
 // keepLogTail keeps the end of a process's log in the report.
 func (r *run) keepLogTail(name string) {
 	p := r.Processes[name]
@@ -83,5 +97,5 @@
 	if r.report.Logs == nil {
 		r.report.Logs = make(map[string]string)
 	}
-	r.report.Logs[name] = log[max(0, len(log)-maxLogTail):]
+	r.report.Logs[name] = tail(log)
 }
--- a/internal/testing/faultinjection/process.go
+++ b/internal/testing/faultinjection/process.go
@@ -165,21 +165,34 @@
 // and its exit status is known: the end's error is returned, also where it has ended before.
 // After the timeout it kills it.
 func (p *Process) Terminate(timeout time.Duration) error {
+	for _, signal := range []syscall.Signal{syscall.SIGCONT, syscall.SIGTERM} {
+		_ = p.Signal(signal) // it fails if the process has ended
+	}
+	err := p.AwaitEnd(timeout)
+	if errors.Is(err, ErrRunning) {
+		p.Kill()
+		return fmt.Errorf("%s did not end within %v", p.Name, timeout)
+	}
+	return err
+}
+
+// ErrRunning says that a process has not ended.
+var ErrRunning = errors.New("the process runs")
+
+// AwaitEnd waits until the last start has ended and its output is read. It returns how it has
+// ended, as EndError does, and ErrRunning after the timeout.
+func (p *Process) AwaitEnd(timeout time.Duration) error {
 	p.mu.Lock()
 	ended := p.ended
 	p.mu.Unlock()
 	if ended == nil {
 		return fmt.Errorf("%s was never started", p.Name)
 	}
-	for _, signal := range []syscall.Signal{syscall.SIGCONT, syscall.SIGTERM} {
-		_ = p.Signal(signal) // it fails if the process has ended
-	}
 	select {
 	case <-ended:
 		return p.EndError()
 	case <-time.After(timeout):
-		p.Kill()
-		return fmt.Errorf("%s did not end within %v", p.Name, timeout)
+		return ErrRunning
 	}
 }
 
