Backups, members' cache: the temporary file is made in the file's own folder

What operators saw: with a busy disk the step `membership` of an end took up to 5 s for a file of some hundred bytes.

Cause, traced beside 20 processes that write: renameio, without a folder for its temporary file, makes two files and a rename between folders at each write to see whether TMPDIR can be used. The kernel has one lock for such renames in a file system: threads of several replicas stood in lock_two_directories and do_renameat2, up to 2.2 s besides the sync.

--- a/internal/controller/backup.go
+++ b/internal/controller/backup.go
@@ -63,11 +63,12 @@
 
 // writeBackup writes a backup, and then its checksum, which makes it complete.
 func writeBackup(path string, text []byte) error {
-	if err := renameio.WriteFile(path, text, 0o600); err != nil {
+	inFolder := renameio.WithTempDir(filepath.Dir(path)) // the library tries renames from another one otherwise
+	if err := renameio.WriteFile(path, text, 0o600, inFolder); err != nil {
 		return err
 	}
 	line := fmt.Sprintf("%s  %s\n", checksum(text), filepath.Base(path))
-	return renameio.WriteFile(path+checksumSuffix, []byte(line), 0o600)
+	return renameio.WriteFile(path+checksumSuffix, []byte(line), 0o600, inFolder)
 }
 
 func checksum(text []byte) string {
--- a/internal/membership/gossip/cache.go
+++ b/internal/membership/gossip/cache.go
@@ -114,5 +114,7 @@
 }
 
 func replaceFile(path string, text []byte, permissions os.FileMode) error {
-	return renameio.WriteFile(path, text, permissions)
+	// Without a folder for its temporary file the library tries renames between folders at each write,
+	// for which the kernel has one lock in a file system.
+	return renameio.WriteFile(path, text, permissions, renameio.WithTempDir(filepath.Dir(path)))
 }
