Registry: without membership Raft asks for no other addresses

The library logged "unable to get address for server, using fallback address" many times a second at info, as no member ever sees the replica; a log of 30 s held nothing else. The provider of addresses is set only where the replica is a member of a fleet.

--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -148,9 +148,11 @@
 		r.stateMachine.view(func(s *registry.State) { founded = s.FirstVersion() })
 		return c.Group, founded
 	})
-	network := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
-		Stream: layer, MaxPool: raftPoolSize, Timeout: raftTimeout, Logger: logger, ServerAddressProvider: addressProvider{r},
-	})
+	transportSettings := &raft.NetworkTransportConfig{Stream: layer, MaxPool: raftPoolSize, Timeout: raftTimeout, Logger: logger}
+	if c.Membership != nil {
+		transportSettings.ServerAddressProvider = addressProvider{r}
+	}
+	network := raft.NewNetworkTransportWithConfig(transportSettings)
 	var started atomic.Pointer[raft.Raft] // nil until NewRaft has returned
 	r.transport = newLeaderTransport(network,
 		func(term uint64) error { return r.checkLeadershipClaim(started.Load(), term) },
