Sidecar, controller: they hear SIGTERM while a read of the configuration hangs

What callers saw: a sidecar or a controller told to end while it reads its configuration from a disk that hangs never ended (25 s by hand); a sidecar at SIGHUP went on accepting, was cut off after 11.5 s with status 1, and what it had in flight was lost.

Cause: the read was made by the goroutine that looks for SIGTERM: at the start before the watchdog begins, at SIGHUP in the service's own loop, which also runs the phases of the end.

Evidence, the file being a named pipe (go test -run TestEndWhileConfigurationIsRead ./cmd/controller ./cmd/sidecar): not ended 20 s after SIGTERM (controller, serve and check) and 10 s (sidecar, at the start and at SIGHUP).

Why it works: shutdown.Await gives the read a goroutine; a process told to end before it has read its configuration ends with status 0, as nothing has started. At SIGHUP the file is read beside the loop, which takes over the result; signals that come meanwhile have it read once more, so the last state of the file counts as before. TestReloadWhileThePolicyIsEnforced calls the two halves in a row.

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -72,7 +72,10 @@
 			if err := l.UnmarshalText([]byte(level)); err != nil {
 				return cli.WrongCall("--log-level is %q, it must be debug, info, warn or error", level)
 			}
-			cfg, err := load()
+			cfg, err := shutdown.Await(c.Context(), load)
+			if c.Context().Err() != nil {
+				return nil // nothing has started
+			}
 			if err != nil {
 				return err
 			}
@@ -87,7 +90,7 @@
 	root.AddCommand(&cobra.Command{
 		Use: "check", Short: "Read a configuration, start nothing", Args: cli.NoArgs, Example: "  controller check --config k1.toml",
 		RunE: func(c *cobra.Command, _ []string) error {
-			cfg, err := load()
+			cfg, err := shutdown.Await(c.Context(), load)
 			if err != nil {
 				return err
 			}
--- a/cmd/controller/main_test.go
+++ b/cmd/controller/main_test.go
@@ -20,7 +20,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(roleVariable) != "" {
-		os.Args = []string{"controller"}
+		os.Args = append([]string{"controller"}, os.Args[1:]...)
 		main()
 	}
 	os.Exit(m.Run())
@@ -100,3 +100,43 @@
 		})
 	}
 }
+
+// A configuration whose read hangs, as a dead disk's does, does not keep a process from ending by
+// SIGTERM: nothing has started yet.
+func TestEndWhileConfigurationIsRead(t *testing.T) {
+	for name, args := range map[string][]string{"serve": nil, "check": {"check"}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			path := filepath.Join(t.TempDir(), "k1.toml")
+			if err := syscall.Mkfifo(path, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			var log lockedBuffer
+			cmd := exec.Command(os.Args[0], args...)
+			cmd.Env = append(os.Environ(), roleVariable+"=controller", "CONTROLLER_CONFIG="+path)
+			cmd.Stdout, cmd.Stderr = &log, &log
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- cmd.Wait() }()
+			writer, err := os.OpenFile(path, os.O_WRONLY, 0) // returns when the process reads
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer writer.Close()
+			if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case err := <-ended:
+				if strings.Contains(log.String(), "shutdown: cut off") {
+					t.Errorf("its watchdog had to end it: %v\n%s", err, log.String())
+				}
+			case <-time.After(endBound):
+				_ = cmd.Process.Kill()
+				t.Errorf("it has not ended %v after SIGTERM:\n%s", endBound, log.String())
+			}
+		})
+	}
+}
--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"barleywick/internal/testing/faultinjection"
+	"barleywick/internal/testing/loopback"
 )
 
 // TestMain lets the test binary stand in for the program.
@@ -101,3 +102,81 @@
 		t.Errorf("ended with %v, want exit 0", err)
 	}
 }
+
+// A configuration whose read hangs, as a dead disk's does, does not keep a process from ending by
+// SIGTERM: nothing has started yet.
+func TestEndWhileConfigurationIsRead(t *testing.T) {
+	const bound = 10 * time.Second // far below any that docs/SHUTDOWN.md states
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "BARLEYWICK_RUN_MAIN=1", "ROUTER_CONFIG="+path)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	writer, err := os.OpenFile(path, os.O_WRONLY, 0) // returns when the process reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer writer.Close()
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(bound):
+		_ = cmd.Process.Kill()
+		t.Errorf("it has not ended %v after SIGTERM", bound)
+	}
+}
+
+// A configuration whose read hangs at SIGHUP does not keep a sidecar from ending in order: it
+// hears SIGTERM meanwhile.
+func TestEndWhileConfigurationIsReadAgain(t *testing.T) {
+	const bound = 10 * time.Second
+	addr, err := loopback.FreeAddr()
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := `{"name":"n0","listen":"` + addr + `","discovery":"127.0.0.1:1","seed":"ff","limits":{"cores":1.0,"memory_mb":192,"sockets":256},
+		"settings":{"balancers":1,"caps":{"most_tries":3},"classes":[{"name":"a","aim_ms":500,"hard_limit_ms":1000}]}}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	process := &faultinjection.Process{Name: "sidecar", NewCommand: func() *exec.Cmd {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "BARLEYWICK_RUN_MAIN=1", "ROUTER_CONFIG="+path)
+		return cmd
+	}}
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer process.Kill()
+	for deadline := time.Now().Add(bound); !strings.Contains(process.Output(), "msg=serving"); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("it does not serve:\n%s", process.Output())
+		}
+	}
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	writer, err := os.OpenFile(path, os.O_WRONLY, 0) // returns when the process reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer writer.Close()
+	if err := process.Terminate(bound); err != nil {
+		t.Errorf("it did not end in order: %v\n%s", err, process.Output())
+	}
+}
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -51,6 +51,27 @@
 	}
 }
 
+// Await runs a call that cannot be cancelled, such as a read from a disk that may hang, and
+// returns its result. Once stop is done it returns stop's error, and the call goes on by itself.
+func Await[T any](stop context.Context, call func() (T, error)) (T, error) {
+	type result struct {
+		value T
+		err   error
+	}
+	returned := make(chan result, 1)
+	go func() {
+		value, err := call()
+		returned <- result{value, err}
+	}()
+	select {
+	case r := <-returned:
+		return r.value, r.err
+	case <-stop.Done():
+		var none T
+		return none, stop.Err()
+	}
+}
+
 func begin(program string, bound time.Duration, exit func(status int)) *Sequence {
 	s := &Sequence{program: program, bound: bound, begun: time.Now(), exit: exit, exited: make(chan struct{})}
 	s.timer = time.AfterFunc(bound, s.cutOff)
--- a/internal/sidecar/config/config.go
+++ b/internal/sidecar/config/config.go
@@ -86,19 +86,20 @@
 	return c, c.checkDiscovery()
 }
 
-// Reload reads the file again and takes over what may change under way: the discovery addresses
-// and the limits on connections. The platform's limits are those of the start. The environment is
-// that of the start too, so here the file alone counts. On an error nothing changes.
-func (c *Config) Reload() error {
+// ReadAgain reads the file again, which takes as long as its disk takes. The platform's limits are
+// those of the start. The environment is that of the start too, so here the file alone counts.
+func (c *Config) ReadAgain() (*Config, error) {
 	fresh, err := readConfig(c.Path, &c.Limits)
 	if err != nil {
-		return err
-	}
-	if err := fresh.checkDiscovery(); err != nil {
-		return err
+		return nil, err
 	}
+	return fresh, fresh.checkDiscovery()
+}
+
+// Adopt takes over from a configuration that was read again what may change under way: the
+// discovery addresses and the limits on connections.
+func (c *Config) Adopt(fresh *Config) {
 	c.Discovery, c.DiscoveryReplicas, c.Connections = fresh.Discovery, fresh.DiscoveryReplicas, fresh.Connections
-	return nil
 }
 
 // DiscoveryAddrs returns all addresses of discovery, each once.
--- a/internal/sidecar/reload_race_test.go
+++ b/internal/sidecar/reload_race_test.go
@@ -38,7 +38,7 @@
 	defer listener.Close()
 	pool := upstream.NewPool(c.DialTimeout, c.UpstreamIdleTimeout, c.Connections.Servers, c.Seed)
 	defer pool.Close()
-	s := &service{config: c, enforcer: newPolicyEnforcer(c, loop, listener, pool)}
+	s := &service{config: c, enforcer: newPolicyEnforcer(c, loop, listener, pool), reloaded: make(chan reloadResult, 1)}
 	s.watcher = client.NewWatcher(client.WatcherOptions{Addrs: c.DiscoveryAddrs(), Deliver: func(client.ListUpdate) {}})
 	var enforcing sync.WaitGroup
 	enforcing.Go(func() {
@@ -47,7 +47,8 @@
 		}
 	})
 	for range rounds {
-		s.handleReload()
+		s.beginReload()
+		s.finishReload(<-s.reloaded)
 	}
 	enforcing.Wait()
 }
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -58,6 +58,16 @@
 	successors   <-chan *handover.Successor // nil: none may come
 
 	accepting bool // it accepts, or did
+
+	reading   bool              // the configuration is being read again
+	readAgain bool              // and has to be once more afterwards
+	reloaded  chan reloadResult // what was read
+}
+
+// reloadResult is a configuration that was read again, or why it cannot be used.
+type reloadResult struct {
+	fresh *config.Config
+	err   error
 }
 
 // serve runs a sidecar on a listener, in the place of a predecessor if there is one.
@@ -65,6 +75,7 @@
 	s := &service{
 		config: c, options: o, listener: ln, predecessor: old,
 		served: make(chan error, 1), inPlace: make(chan error, 1), policyFailed: make(chan error, 1),
+		reloaded: make(chan reloadResult, 1),
 	}
 	defer s.stop()
 	if err := s.start(); err != nil {
@@ -360,7 +371,9 @@
 				return err
 			}
 		case <-reload:
-			s.handleReload()
+			s.beginReload()
+		case result := <-s.reloaded:
+			s.finishReload(result)
 		}
 	}
 }
@@ -400,17 +413,42 @@
 	s.shutdown.begin()
 }
 
-// handleReload reads the configuration again. It does so also while the process drains: discovery
-// may move while requests are still to be answered.
-func (s *service) handleReload() {
+// beginReload begins to read the configuration again. It does so also while the process drains:
+// discovery may move while requests are still to be answered. Nothing waits for the read, whose
+// disk may hang.
+func (s *service) beginReload() {
 	if mutation.EndOnReloadInShutdown && s.shutdown.signalled.Load() {
 		os.Exit(0)
 	}
-	before := s.config.DiscoveryAddrs()
-	if err := s.config.Reload(); err != nil {
-		slog.Error("configuration: reload failed, nothing changed", "err", err)
+	if s.reading {
+		s.readAgain = true
+		return
+	}
+	s.reading = true
+	go func() { // not awaited at the end
+		fresh, err := s.config.ReadAgain()
+		s.reloaded <- reloadResult{fresh, err}
+	}()
+}
+
+// finishReload takes over what was read, and begins to read once more if that was asked for
+// meanwhile.
+func (s *service) finishReload(result reloadResult) {
+	s.takeOver(result)
+	s.reading = false
+	if s.readAgain {
+		s.readAgain = false
+		s.beginReload()
+	}
+}
+
+func (s *service) takeOver(result reloadResult) {
+	if result.err != nil {
+		slog.Error("configuration: reload failed, nothing changed", "err", result.err)
 		return
 	}
+	before := s.config.DiscoveryAddrs()
+	s.config.Adopt(result.fresh)
 	s.enforcer.configureLimits(s.config.Connections)
 	if now := s.config.DiscoveryAddrs(); !slices.Equal(now, before) {
 		s.watcher.SetAddrs(now)
--- a/internal/sidecarcmd/command.go
+++ b/internal/sidecarcmd/command.go
@@ -135,7 +135,10 @@
 	// Without a handler SIGHUP would end the program.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	c, err := config.Load(getenv)
+	c, err := shutdown.Await(stop, func() (*config.Config, error) { return config.Load(getenv) })
+	if stop.Err() != nil {
+		return nil // nothing has started
+	}
 	if err != nil {
 		return err
 	}
