Registry: a leader whose disk hangs answers the writes that it has taken

What callers saw: a write that had reached a leader as its disk began to hang was never answered, nor were later ones that followers sent on to it; a client waited there until its own deadline and tried no other replica, though another led after a second.

Cause: Raft's Apply waits up to 5 s until its goroutine takes the order, and what it returns waits for the disk, without a bound.

Why it works: an order to Raft is made beside its caller, which is answered with 503 (done or not, can be sent again) once a write to the disk has been running for six election timeouts; by then the others have a leader. A group of one, which has no other, waits for a write's whole time.

--- a/internal/registry/server/http_error.go
+++ b/internal/registry/server/http_error.go
@@ -66,6 +66,8 @@
 		err = r.noLeaderError()
 	case errors.Is(err, raft.ErrLeadershipLost), errors.Is(err, raft.ErrEnqueueTimeout), errors.Is(err, raft.ErrRaftShutdown):
 		err = fmt.Errorf("the leader changed: the write may have been done or not, and can be sent again: %w", err)
+	case errors.Is(err, errDiskHangs):
+		err = fmt.Errorf("the write may have been done or not, and can be sent again: %w", err)
 	}
 	r.counters.refusedCalls.Add(1)
 	w.Header().Set("Retry-After", retryAfter())
--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -28,8 +28,11 @@
 	transferTimeout = 2 * time.Second
 
 	// diskEndTimeout is how long a replica that ends waits for calls of its disk.
-	diskEndTimeout      = 2 * time.Second
-	diskEndPollInterval = 100 * time.Millisecond
+	diskEndTimeout   = 2 * time.Second
+	diskPollInterval = 100 * time.Millisecond
+	// hungDiskElections is after how many election timeouts the others have replaced a leader
+	// whose disk hangs: it has led for staleElections of them.
+	hungDiskElections = 2 * staleElections
 
 	raftPoolSize       = 3 // connections kept to each other replica
 	raftTimeout        = 2 * time.Second
@@ -222,7 +225,7 @@
 // the disk, so it is not waited for any longer than a transfer may take.
 func (r *Replica) transferLeadership() error {
 	transferred := make(chan error, 1)
-	go func() { transferred <- r.await(r.raft.LeadershipTransfer()) }() // ends with Raft at the latest
+	go func() { transferred <- r.await(r.raft.LeadershipTransfer) }() // ends with Raft at the latest
 	select {
 	case err := <-transferred:
 		return err
@@ -269,26 +272,46 @@
 				"call", call.name, "running", time.Since(call.started).Round(time.Millisecond))
 			return true, nil
 		}
-		timeout.Reset(diskEndPollInterval) // it is not the disk that Raft waits for
+		timeout.Reset(diskPollInterval) // it is not the disk that Raft waits for
 	}
 }
 
-// await waits for what became of an order to Raft. At its end the library leaves unanswered
-// what its log has committed and its state machine has not applied.
-func (r *Replica) await(order raft.Future) error {
+// await waits for what becomes of an order to Raft. At its end the library leaves unanswered
+// what its log has committed and its state machine has not applied, and while the disk hangs it
+// takes no order and answers none.
+func (r *Replica) await(order func() raft.Future) error {
 	answered := make(chan error, 1)
-	go func() { answered <- order.Error() }() // one that is never answered ends with the process
-	select {
-	case err := <-answered:
-		return err
-	case <-r.raftEnded:
+	go func() { answered <- order().Error() }() // one that is never answered ends with the process
+	poll := time.NewTicker(diskPollInterval)
+	defer poll.Stop()
+	for {
+		select {
+		case err := <-answered:
+			return err
+		case <-r.raftEnded:
+			select {
+			case err := <-answered:
+				return err
+			default:
+				return raft.ErrRaftShutdown
+			}
+		case <-poll.C:
+			if r.diskHangs() {
+				return errDiskHangs
+			}
+		}
 	}
-	select {
-	case err := <-answered:
-		return err
-	default:
-		return raft.ErrRaftShutdown
+}
+
+// diskHangs reports whether a write to the disk has been running for so long that callers do
+// better to try another replica, or again later: the others, if there are any, have elected a
+// leader that can write.
+func (r *Replica) diskHangs() bool {
+	bound := writeTimeout
+	if len(r.voters()) > 1 {
+		bound = min(bound, hungDiskElections*r.config.Load().electionTimeout())
 	}
+	return r.storage.terms.calls.longest(time.Now()) > bound
 }
 
 // apply has the group apply a command. When it returns without an error, a quorum has
@@ -299,8 +322,12 @@
 	if err != nil {
 		return registry.Result{}, fmt.Errorf("write command: %w", err)
 	}
-	future := r.raft.Apply(text, writeTimeout)
-	if err := r.await(future); err != nil {
+	var future raft.ApplyFuture
+	err = r.await(func() raft.Future {
+		future = r.raft.Apply(text, writeTimeout)
+		return future
+	})
+	if err != nil {
 		return registry.Result{}, err
 	}
 	r.counters.writes.Add(1)
