--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -366,8 +366,7 @@
 			stop = context.Background() // once: a second signal changes nothing
 			s.handleStop()
 		case <-s.shutdown.phaseDue():
-			if done, err := s.shutdown.advance(); done || err != nil {
-				s.leaveRoster() // every request is answered
+			if ended, err := s.advanceShutdown(); ended {
 				return err
 			}
 		case <-reload:
@@ -378,6 +377,17 @@
 	}
 }
 
+// advanceShutdown takes the shutdown to its next phase. ended says that it was the last, or
+// has failed.
+func (s *service) advanceShutdown() (ended bool, err error) {
+	done, err := s.shutdown.advance()
+	if !done && err == nil {
+		return false, nil
+	}
+	s.leaveRoster() // every request is answered
+	return true, err
+}
+
 // handleInPlace is called when this process accepts connections.
 func (s *service) handleInPlace() {
 	s.accepting = true
