--- a/internal/registry/server/compat_test.go
+++ b/internal/registry/server/compat_test.go
@@ -18,6 +18,7 @@
 	"barleywick/internal/testing/diskgate"
 	"barleywick/internal/testing/faultinjection"
 	"barleywick/internal/testing/fixture"
+	"barleywick/internal/testing/loopback"
 )
 
 // Data and messages of an earlier version have to stay readable. What stands in
@@ -101,11 +102,15 @@
 // newMembers are replicas at addresses that the system picked and nobody uses.
 func newMembers(t testing.TB, ids ...string) (members []registry.ReplicaInfo) {
 	t.Helper()
+	addr := func() string {
+		a, err := loopback.FreeAddr()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a
+	}
 	for _, id := range ids {
-		http, raft := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
-		defer http.Close()
-		defer raft.Close()
-		members = append(members, registry.ReplicaInfo{ID: id, HTTP: http.Addr().String(), Raft: raft.Addr().String()})
+		members = append(members, registry.ReplicaInfo{ID: id, HTTP: addr(), Raft: addr()})
 	}
 	return members
 }
