--- a/internal/testing/integration/rig_test.go
+++ b/internal/testing/integration/rig_test.go
@@ -134,6 +134,7 @@
 	t.Helper()
 	r.Injector = &faultinjection.Injector{Network: faultinjection.NewNetwork(seed), Processes: make(map[string]*faultinjection.Process)}
 	r.routes, r.env = make(map[string]addressmap.Map), make(map[string][]string)
+	t.TempDir() // it is removed after the processes have ended: what is registered first is done last
 	t.Cleanup(func() {
 		for name, p := range r.Processes {
 			if p.Kill(); p.Crashed() != nil {
