Registry: a first start replaces no other log, and completes only its own founding

A second process that had found the folder without a log, and was slow, renamed its new log over the one that the first had founded on (TestSecondFirstStartDoesNotReplaceTheLog: both had the folder open, the second's log without the acknowledged entry). And a replica that waited to be added to a group, and whose file no longer said so, founded one (TestJoinedReplicaWithoutEntriesFoundsNoGroup: it led).

The file is linked in place, which fails where there is one.

--- a/internal/registry/server/data_folder.go
+++ b/internal/registry/server/data_folder.go
@@ -24,24 +24,32 @@
 	Form  int    `json:"form"`
 	Group string `json:"group"`
 	ID    string `json:"id"`
+	// Founder says that the replica was to found its group when it claimed the folder, and not to
+	// join one.
+	Founder bool `json:"founder,omitempty"`
+}
+
+// folderClaim is what a replica finds in its data folder.
+type folderClaim struct {
+	isNew   bool // it holds no log yet
+	founder bool // it was claimed by a replica that founds its group
 }
 
 // claimDataFolder checks that the data folder is this replica's, and claims an empty one.
-// isNew says that it holds no log yet.
-func claimDataFolder(c *Config) (isNew bool, err error) {
+func claimDataFolder(c *Config) (folderClaim, error) {
 	path := filepath.Join(c.DataDir, identityFile)
-	want := identity{identityForm, c.Group, c.ID}
+	want := identity{identityForm, c.Group, c.ID, !c.Join}
 	got, err := readIdentity(path)
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
-		return true, claimEmptyFolder(c.DataDir, path, want)
+		return folderClaim{isNew: true, founder: want.Founder}, claimEmptyFolder(c.DataDir, path, want)
 	case err != nil:
-		return false, err
-	case got != want:
-		return false, fmt.Errorf("data folder %s: it belongs to replica %q of group %q, this is %q of %q", c.DataDir, got.ID, got.Group, want.ID, want.Group)
+		return folderClaim{}, err
+	case got.Form != want.Form || got.Group != want.Group || got.ID != want.ID:
+		return folderClaim{}, fmt.Errorf("data folder %s: it belongs to replica %q of group %q, this is %q of %q", c.DataDir, got.ID, got.Group, want.ID, want.Group)
 	}
 	_, err = os.Stat(filepath.Join(c.DataDir, logFile))
-	return errors.Is(err, fs.ErrNotExist), nil
+	return folderClaim{isNew: errors.Is(err, fs.ErrNotExist), founder: got.Founder}, nil
 }
 
 func readIdentity(path string) (i identity, err error) {
--- a/internal/registry/server/storage.go
+++ b/internal/registry/server/storage.go
@@ -29,7 +29,7 @@
 	terms     *waitingTermStore // in bolt
 	snapshots raft.SnapshotStore
 	isNew     bool // the folder held no log
-	unfounded bool // the folder held a log without history
+	unfounded bool // a founder's folder held a log without history
 
 	endWritesOnce sync.Once
 }
@@ -40,12 +40,12 @@
 	if err := os.MkdirAll(c.DataDir, 0o700); err != nil {
 		return nil, fmt.Errorf("data folder: %w", err)
 	}
-	isNew, err := claimDataFolder(c)
+	claim, err := claimDataFolder(c)
 	if err != nil {
 		return nil, err
 	}
 	path := filepath.Join(c.DataDir, logFile)
-	if isNew {
+	if claim.isNew {
 		err = createLogFile(path)
 	} else {
 		err = checkLogFile(path)
@@ -59,7 +59,8 @@
 	} else if err != nil {
 		return nil, fmt.Errorf("log %s: %w", path, err)
 	}
-	s := &storage{bolt: store, terms: newWaitingTermStore(store), isNew: isNew}
+	_ = os.Remove(path + unfinishedSuffix) // left by a start that was ended; usually there is none
+	s := &storage{bolt: store, terms: newWaitingTermStore(store), isNew: claim.isNew}
 	s.log = &checkedLog{BoltStore: store, calls: s.terms.calls}
 	if err := s.log.verify(); err != nil {
 		s.Close()
@@ -71,7 +72,7 @@
 		return nil, fmt.Errorf("snapshots in %s: %w", c.DataDir, err)
 	}
 	s.snapshots = &timedSnapshotStore{snapshots, s.terms.calls}
-	if !isNew {
+	if !claim.isNew && claim.founder {
 		if s.unfounded, err = s.lacksHistory(); err != nil {
 			s.Close()
 			return nil, fmt.Errorf("log %s: %w", path, err)
@@ -80,13 +81,17 @@
 	return s, nil
 }
 
-// lacksHistory reports whether there is neither an entry nor a snapshot: the replica was
-// ended before it had founded its group, and nobody has sent it the group's log.
+// lacksHistory reports whether there is neither an entry nor a snapshot, and no term beyond the
+// one in which a group is founded: a founder was ended before it had founded its group.
 func (s *storage) lacksHistory() (bool, error) {
 	last, err := s.log.LastIndex()
 	if err != nil || last > 0 {
 		return false, err
 	}
+	term, err := s.terms.GetUint64([]byte(termKey))
+	if err != nil && !errors.Is(err, raftboltdb.ErrKeyNotFound) || term > foundingTerm {
+		return false, err
+	}
 	snapshots, err := s.snapshots.List()
 	return len(snapshots) == 0, err
 }
@@ -104,10 +109,13 @@
 	}
 	err = store.Close()
 	if err == nil {
-		err = os.Rename(unfinished, path)
+		err = os.Link(unfinished, path) // not renamed: the log of another process would be replaced
+	}
+	if errors.Is(err, fs.ErrExist) {
+		return lockedError(path)
 	}
 	if err == nil {
-		err = syncFolder(filepath.Dir(path))
+		err = errors.Join(os.Remove(unfinished), syncFolder(filepath.Dir(path)))
 	}
 	if err != nil {
 		return fmt.Errorf("log %s: %w", path, err)
--- a/internal/registry/server/storage_test.go
+++ b/internal/registry/server/storage_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/raft"
 
@@ -49,7 +50,7 @@
 		t.Helper()
 		c := *n.config
 		c.DataDir = t.TempDir()
-		text, _ := json.Marshal(identity{1, c.Group, c.ID})
+		text, _ := json.Marshal(identity{Form: 1, Group: c.Group, ID: c.ID})
 		if err := errors.Join(os.WriteFile(filepath.Join(c.DataDir, identityFile), text, 0o600), os.WriteFile(filepath.Join(c.DataDir, logFile), log, 0o600)); err != nil {
 			t.Fatal(err)
 		}
@@ -189,3 +190,52 @@
 		t.Error("SetUint64 returned though the term is not stored")
 	}
 }
+
+// A second process that has found the folder without a log, and is slow, does not replace the log of
+// the first one, which has founded its group meanwhile.
+func TestSecondFirstStartDoesNotReplaceTheLog(t *testing.T) {
+	c := parseSettings(t, map[string]any{
+		"group": "test", "id": "r0", "data": t.TempDir(),
+		"replicas": []registry.ReplicaInfo{{ID: "r0", HTTP: "127.0.0.1:1", Raft: "127.0.0.1:2"}},
+	})
+	if claim, err := claimDataFolder(c); !claim.isNew || err != nil {
+		t.Fatalf("the second process: %+v, error %v", claim, err)
+	}
+	first, err := openStorage(c, newRaftLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	if err := first.log.StoreLog(&raft.Log{Index: 1, Term: 1, Data: []byte("acknowledged")}); err != nil {
+		t.Fatal(err)
+	}
+	// The second process goes on with what it has found.
+	if err := createLogFile(filepath.Join(c.DataDir, logFile)); err == nil {
+		t.Error("the second process has made a new log over the one that the first has open")
+	}
+	second, err := openStorage(c, newRaftLogger())
+	if err != nil {
+		return
+	}
+	defer second.Close()
+	last, err := second.log.LastIndex()
+	t.Errorf("two processes have the folder open; the second's log ends at entry %d, error %v, the first has acknowledged 1", last, err)
+}
+
+// A replica that waits to be added to a group, and was ended before it was, does not found a group of its own when
+// its configuration no longer says that it joins.
+func TestJoinedReplicaWithoutEntriesFoundsNoGroup(t *testing.T) {
+	m := newMembers(t, "r3")[0]
+	folder := filepath.Join(t.TempDir(), "data")
+	n := &node{t: t, config: parseSettings(t, singleReplica(m, folder, map[string]any{"join": true})), member: m}
+	n.start()
+	n.stop()
+	n.config = parseSettings(t, singleReplica(m, folder, nil))
+	n.start()
+	defer n.stop()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if n.raft.State() == raft.Leader {
+			t.Fatalf("it leads a group of its own, of %d voters", len(n.voters()))
+		}
+	}
+}
--- a/internal/registry/server/term_store.go
+++ b/internal/registry/server/term_store.go
@@ -14,6 +14,8 @@
 const (
 	// termKey is the key under which Raft stores the current term.
 	termKey = "CurrentTerm"
+	// foundingTerm is the term of the first entry, the group's first configuration.
+	foundingTerm = 1
 	// termRetryInterval is the time between two tries to store the term on a full disk.
 	termRetryInterval = 50 * time.Millisecond
 )
