--- a/internal/registry/server/disk_calls.go
+++ b/internal/registry/server/disk_calls.go
@@ -17,6 +17,7 @@
 // diskCall is a call of the disk that is under way.
 type diskCall struct {
 	name    string
+	log     bool // it is a write to the log's file, for which Raft's own goroutine waits
 	started time.Time
 }
 
@@ -35,7 +36,7 @@
 // write runs a write to the log's file once those before it have returned, unless the
 // replica ends meanwhile.
 func (c *diskCalls) write(name string, call func() error) error {
-	defer c.begin(name)()
+	defer c.note(diskCall{name: name, log: true})()
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	if c.ended.Load() {
@@ -44,8 +45,11 @@
 	return call()
 }
 
-// begin notes the start of a call. The caller calls end when it has returned.
-func (c *diskCalls) begin(name string) (end func()) {
+// begin notes the start of a call that is no write to the log's file. The caller calls end
+// when it has returned.
+func (c *diskCalls) begin(name string) (end func()) { return c.note(diskCall{name: name}) }
+
+func (c *diskCalls) note(call diskCall) (end func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.running == nil {
@@ -53,14 +57,14 @@
 	}
 	id := c.next
 	c.next++
-	started := time.Now()
-	c.running[id] = diskCall{name, started}
+	call.started = time.Now()
+	c.running[id] = call
 	return func() {
 		c.mu.Lock()
 		delete(c.running, id)
 		c.mu.Unlock()
-		if took := time.Since(started); took >= slowDiskCall {
-			slog.Warn("registry: slow disk", "call", name, "took", took.Round(time.Millisecond))
+		if took := time.Since(call.started); took >= slowDiskCall {
+			slog.Warn("registry: slow disk", "call", call.name, "took", took.Round(time.Millisecond))
 		}
 	}
 }
@@ -80,12 +84,15 @@
 	return oldest, ok
 }
 
-// longest returns for how long the oldest call under way has been running; 0 if there is
-// none.
-func (c *diskCalls) longest(now time.Time) time.Duration {
-	oldest, ok := c.oldest()
-	if !ok {
-		return 0
+// longest returns for how long the oldest write to the log's file that is under way has been
+// running; 0 if there is none.
+func (c *diskCalls) longest(now time.Time) (longest time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, call := range c.running {
+		if call.log {
+			longest = max(longest, now.Sub(call.started))
+		}
 	}
-	return max(0, now.Sub(oldest.started))
+	return longest
 }
--- a/internal/registry/server/disk_end_test.go
+++ b/internal/registry/server/disk_end_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/raft"
+
 	"barleywick/internal/registry"
 	"barleywick/internal/registry/client"
 )
@@ -191,3 +193,49 @@
 		t.Error("a write was acknowledged whose entry was never synced")
 	}
 }
+
+// sendHeartbeat sends a replica a heartbeat of a leader in a later term. It returns after a second if
+// there is no answer.
+func (g *processGroup) sendHeartbeat(to, from registry.ReplicaInfo) {
+	g.t.Helper()
+	layer := newStreamLayer(listen(g.t, "127.0.0.1:0"), nil, func() (string, uint64) { return "test", 0 })
+	transport := raft.NewNetworkTransport(layer, 1, time.Second, nil)
+	defer transport.Close()
+	request := &raft.AppendEntriesRequest{
+		RPCHeader: raft.RPCHeader{ProtocolVersion: raft.ProtocolVersionMax, ID: []byte(from.ID), Addr: []byte(from.Raft)},
+		Term:      1000, Leader: []byte(from.Raft),
+	}
+	var response raft.AppendEntriesResponse
+	err := transport.AppendEntries(raft.ServerID(to.ID), raft.ServerAddress(to.Raft), request, &response)
+	g.t.Logf("the heartbeat: success %v, %v", response.Success, err)
+}
+
+// A replica whose disk hangs while it stores the term of a heartbeat ends in time: a goroutine of the
+// transport stores that one, for which Raft's end does not wait.
+func TestEndWhileTheTermOfAHeartbeatIsStored(t *testing.T) {
+	t.Parallel()
+	g := startGatedGroup(t)
+	target, other := g.target(false)
+	replica := g.replicas[target.ID]
+	replica.Hold(syncs)
+	go g.sendHeartbeat(target, other)
+	t.Logf("the disk hangs at %v", replica.awaitHeld())
+	told := time.Now()
+	replica.sendTerm()
+	replica.endsInTime(told)
+}
+
+// A snapshot that takes long to store, while the log is stored as fast as ever, neither ends the leadership
+// nor has a write fail.
+func TestSlowSnapshotDoesNotEndLeadership(t *testing.T) {
+	g := startGroup(t, 3)
+	leader := g.leader()
+	term := leader.raft.CurrentTerm()
+	end := leader.storage.terms.calls.begin("snapshot") // what timedSnapshotSink.Close does
+	defer end()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if got := leader.raft.CurrentTerm(); got != term {
+			t.Fatalf("its leadership has ended: it is in term %d, it led in %d", got, term)
+		}
+	}
+}
--- a/internal/registry/server/leader_transport_test.go
+++ b/internal/registry/server/leader_transport_test.go
@@ -37,8 +37,8 @@
 		t.Errorf("without a write: got %v want 0", got)
 	}
 	before := time.Now()
-	endOld := calls.begin("old")
-	endNew := calls.begin("new")
+	endOld := calls.note(diskCall{name: "old", log: true})
+	endNew := calls.note(diskCall{name: "new", log: true})
 	endNew()
 	if got := calls.longest(before.Add(time.Hour)); got > time.Hour || got < time.Hour-time.Minute {
 		t.Errorf("a write of an hour: got %v", got)
--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -29,6 +29,7 @@
 
 	// diskEndTimeout is how long a replica that ends waits for calls of its disk.
 	diskEndTimeout   = 2 * time.Second
+	endPollInterval  = 10 * time.Millisecond
 	diskPollInterval = 100 * time.Millisecond
 	// hungDiskElections is after how many election timeouts the others have replaced a leader
 	// whose disk hangs: it has led for staleElections of them.
@@ -204,7 +205,7 @@
 	err := raft.BootstrapCluster(settings, r.storage.log, r.storage.bolt, r.storage.snapshots, r.transport, group)
 	if errors.Is(err, raft.ErrCantBootstrap) && r.storage.unfounded {
 		// It was ended between the two writes: there is a term, and no entry.
-		return r.storage.log.StoreLog(&raft.Log{Index: 1, Term: 1, Type: raft.LogConfiguration, Data: raft.EncodeConfiguration(group)})
+		return r.storage.log.StoreLog(&raft.Log{Index: 1, Term: foundingTerm, Type: raft.LogConfiguration, Data: raft.EncodeConfiguration(group)})
 	}
 	return err
 }
@@ -253,26 +254,31 @@
 	return errors.Join(raftErr, transportErr, r.storage.Close())
 }
 
-// endRaft ends Raft. It waits for a call of the disk that is under way for diskEndTimeout at
-// most: nobody has been told of what such a call stores, and the log takes it whole or not
-// at all, as in a crash. unfinished says that there is one.
+// endRaft ends Raft, and waits for the calls of the disk, some of which Raft's end does not
+// wait for. It waits for diskEndTimeout at most where there is one: nobody has been told of
+// what such a call stores, and the log takes it whole or not at all, as in a crash. unfinished
+// says that there is one.
 func (r *Replica) endRaft() (unfinished bool, err error) {
+	begun := time.Now()
 	ended := make(chan error, 1)
 	go func() { ended <- r.raft.Shutdown().Error() }() // ends with the process at the latest
-	timeout := time.NewTimer(diskEndTimeout)
-	defer timeout.Stop()
-	for {
+	poll := time.NewTicker(endPollInterval)
+	defer poll.Stop()
+	for raftEnded := false; ; {
 		select {
-		case err := <-ended:
-			return false, err
-		case <-timeout.C:
+		case err = <-ended:
+			raftEnded = true
+		case <-poll.C:
 		}
-		if call, ok := r.storage.terms.calls.oldest(); ok {
+		call, running := r.storage.terms.calls.oldest()
+		switch {
+		case running && time.Since(begun) >= diskEndTimeout:
 			slog.Warn("registry: ends without a write that its disk has not finished",
 				"call", call.name, "running", time.Since(call.started).Round(time.Millisecond))
-			return true, nil
+			return true, err
+		case raftEnded && !running:
+			return false, err
 		}
-		timeout.Reset(diskPollInterval) // it is not the disk that Raft waits for
 	}
 }
 
