Registry: a start that was left ends once its call of the disk returns

The goroutine of a start that was given up went on to open ports and run Raft, in a process that runs other things, as localfleet (TestAbandonedStartRunsNoRaft: "a replica listens for others"). A start looks at the stop between its steps now, and closes what it has opened.

--- a/internal/registry/server/run.go
+++ b/internal/registry/server/run.go
@@ -26,10 +26,12 @@
 // Run serves one replica by the configuration file at path until stop is done. At each
 // value of reload it reads the file again.
 func Run(stop context.Context, reload <-chan os.Signal, path string) error {
-	s := beginStart(path)
+	s := beginStart(stop, path)
 	select {
 	case <-s.over:
 	case <-stop.Done():
+	}
+	if stop.Err() != nil {
 		return s.end()
 	}
 	if s.err != nil {
@@ -50,23 +52,24 @@
 
 	config   *Config
 	listener net.Listener // on which callers connect
-	replica  *Replica
-	leave    func() // ends its membership of the fleet
+	replica  *Replica     // nil: it was not started
+	leave    func()       // ends its membership of the fleet
 	err      error
 }
 
-// beginStart begins to start a replica by the configuration file at path.
-func beginStart(path string) *replicaStart {
+// beginStart begins to start a replica by the configuration file at path, until stop is done:
+// it then closes what it has opened, once the call that it is in has returned.
+func beginStart(stop context.Context, path string) *replicaStart {
 	s := &replicaStart{over: make(chan struct{})}
 	go func() { // ends with the process at the latest
 		defer close(s.over)
-		s.err = s.start(path)
+		s.err = s.start(stop, path)
 	}()
 	return s
 }
 
-func (s *replicaStart) start(path string) (err error) {
-	if s.config, err = LoadConfig(path); err != nil {
+func (s *replicaStart) start(stop context.Context, path string) (err error) {
+	if s.config, err = LoadConfig(path); err != nil || stop.Err() != nil {
 		return err
 	}
 	self := s.config.Self()
@@ -74,7 +77,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	defer func() {
-		if err != nil {
+		if s.replica == nil {
 			s.listener.Close()
 		}
 	}()
@@ -82,36 +85,41 @@
 	if err != nil {
 		return fmt.Errorf("listen for replicas: %w", err)
 	}
-	if s.replica, err = Open(s.config, peers); err != nil {
+	replica, err := Open(s.config, peers)
+	if err != nil {
 		return err
 	}
-	if s.leave, err = s.replica.joinMembership(); err != nil {
-		return errors.Join(err, s.replica.Close())
+	if stop.Err() != nil {
+		return replica.Close()
+	}
+	if s.leave, err = replica.joinMembership(); err != nil {
+		return errors.Join(err, replica.Close())
 	}
+	s.replica = replica
 	return nil
 }
 
-// end ends a replica that was told to end before its start was over. The start is waited
-// for as long as calls of the disk are: what it would store is stored whole or not at all,
-// and nobody has been told of it.
+// end waits for a start that was told to end, for as long as calls of the disk are waited for:
+// what it would store is stored whole or not at all, and nobody has been told of it. A start
+// that is over ends in order.
 func (s *replicaStart) end() error {
 	sequence := beginEnd()
 	defer sequence.End()
-	started := false
+	over := false
 	_ = sequence.Step("start", func() error {
 		select {
 		case <-s.over:
-			started = true
+			over = true
 		case <-time.After(diskEndTimeout):
 			slog.Warn("registry: ends before its start is over")
 		}
 		return nil
 	})
-	if !started {
+	switch {
+	case !over:
 		return nil
-	}
-	if s.err != nil {
-		return s.err
+	case s.replica == nil:
+		return s.err // nil if the start has ended because it was told to
 	}
 	s.listener.Close()
 	return s.replica.end(sequence, s.replica.HTTPServer(), s.leave)
@@ -119,8 +127,9 @@
 
 // beginEnd begins the end of the process, which has a bound.
 func beginEnd() *shutdown.Sequence {
+	sequence := shutdown.Begin("registry", endBound) // first: the log may be stuck
 	slog.Info("registry: shutting down")
-	return shutdown.Begin("registry", endBound)
+	return sequence
 }
 
 // end ends the replica step by step.
--- a/internal/registry/server/start_end_test.go
+++ b/internal/registry/server/start_end_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -152,3 +154,38 @@
 	r.sendTerm()
 	r.endsInTime(told)
 }
+
+// A start that was given up does not go on to run Raft, in a process that runs other things.
+func TestAbandonedStartRunsNoRaft(t *testing.T) {
+	m, config := replicaWithMembership(t)
+	text, err := os.ReadFile(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Remove(config); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	stop, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- Run(stop, nil, config) }()
+	pipe, err := os.OpenFile(config, os.O_WRONLY, 0) // returns when the replica reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if _, err := pipe.Write(text); err != nil && !errors.Is(err, syscall.EPIPE) {
+		t.Fatal(err)
+	}
+	pipe.Close()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if listens(m.Raft) {
+			t.Fatal("a replica listens for others, after Run has returned without an error; nobody can end it")
+		}
+	}
+}
