Shutdown: a cut-off does not wait for a log that takes nothing

Found by review: with a log that nobody reads (a full pipe, a disk that hangs) no program ended, 25 to 30 s after SIGTERM; the cut-off itself waited to write its lines (TestCutOffDoesNotWaitForTheLog: not exited 10 s after a bound of 100 ms). The exit follows 1 s after the bound at the latest, the watchdog begins before the first line, and ends after the last.

--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -16,6 +16,10 @@
 // statusCutOff is the exit status of a process whose end was cut off: it has failed.
 const statusCutOff = 1
 
+// cutOffLogTime is how long a cut-off may take to write its lines: whoever reads the log may
+// take no more of it.
+const cutOffLogTime = time.Second
+
 // maxStacks bounds the goroutines' stacks that are logged when an end is cut off, in bytes.
 const maxStacks = 1 << 20
 
@@ -94,10 +98,10 @@
 	if s.ended.Swap(true) {
 		return
 	}
-	if !s.timer.Stop() {
+	slog.Info("shutdown: ended", "program", s.program, "took", time.Since(s.begun).Round(time.Millisecond))
+	if !s.timer.Stop() { // last: the log may be stuck
 		<-s.exited
 	}
-	slog.Info("shutdown: ended", "program", s.program, "took", time.Since(s.begun).Round(time.Millisecond))
 }
 
 func (s *Sequence) setStep(name string) {
@@ -108,12 +112,14 @@
 
 // cutOff ends the process at the bound.
 func (s *Sequence) cutOff() {
+	lastResort := time.AfterFunc(cutOffLogTime, func() { s.exit(statusCutOff) })
 	s.mu.Lock()
 	step := s.step
 	s.mu.Unlock()
 	slog.Error("shutdown: cut off", "program", s.program, "step", step, "bound", s.bound)
 	stacks := make([]byte, maxStacks)
 	_, _ = os.Stderr.Write(stacks[:runtime.Stack(stacks, true)]) // nobody can be told if it fails
+	lastResort.Stop()
 	s.exit(statusCutOff)
 	close(s.exited)
 }
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -64,3 +64,27 @@
 		}
 	})
 }
+
+// stuckLog is a log whose reader takes nothing, as a full pipe or a disk that hangs.
+type stuckLog struct{ released chan struct{} }
+
+func (l stuckLog) Write(text []byte) (int, error) {
+	<-l.released
+	return len(text), nil
+}
+
+// A process whose log takes nothing any more is cut off at its bound all the same.
+func TestCutOffDoesNotWaitForTheLog(t *testing.T) {
+	log := stuckLog{make(chan struct{})}
+	defer slog.SetDefault(slog.Default())
+	slog.SetDefault(slog.New(slog.NewTextHandler(log, nil)))
+	defer close(log.released)
+	exited := make(chan struct{}, 1)
+	s := begin("registry", 100*time.Millisecond, func(int) { exited <- struct{}{} })
+	go func() { _ = s.Step("first", func() error { return nil }) }() // waits for the log
+	select {
+	case <-exited:
+	case <-time.After(10 * time.Second):
+		t.Error("the process has not exited 10 s after a bound of 100 ms")
+	}
+}
