Sidecar-metrics, controller: a read of the members' cache or the stored policy does not hold the end

Found by review: with one of these files on a disk that hangs both were cut off at their bound, status 1 (TestEndWhileAFolderIsRead: 11.45 s; TestEndWhileTheMembersCacheIsRead: 20.0 s). The reads go through shutdown.Await as the configuration's do. Both tests pass.

--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"barleywick/internal/membership"
+	"barleywick/internal/shutdown"
 )
 
 const (
@@ -25,7 +26,10 @@
 
 // Serve runs a controller by its configuration until ctx ends.
 func Serve(ctx context.Context, config *Config) error {
-	c, err := New(config, config.Tasks)
+	c, err := shutdown.Await(ctx, func() (*Controller, error) { return New(config, config.Tasks) }) // it reads a file
+	if ctx.Err() != nil {
+		return nil // no task was held
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/sidecar/policyfollower/follower.go
+++ b/internal/sidecar/policyfollower/follower.go
@@ -19,6 +19,7 @@
 	"barleywick/internal/registry"
 	"barleywick/internal/registry/client"
 	"barleywick/internal/rollout"
+	"barleywick/internal/shutdown"
 	"barleywick/internal/sidecar/config"
 	"barleywick/internal/sidecar/outcome"
 )
@@ -235,8 +236,8 @@
 	if f.admitting.Load() || !f.store.enabled() || time.Since(f.startedAt) < storeAfter || f.state.Version() != 0 {
 		return
 	}
-	p, err := f.store.load()
-	if errors.Is(err, os.ErrNotExist) {
+	p, err := shutdown.Await(ctx, f.store.load)
+	if errors.Is(err, os.ErrNotExist) || ctx.Err() != nil {
 		return
 	}
 	if err != nil {
--- a/internal/sidecarmember/member.go
+++ b/internal/sidecarmember/member.go
@@ -15,6 +15,7 @@
 	"barleywick/internal/membership"
 	"barleywick/internal/membership/gossip"
 	"barleywick/internal/registry"
+	"barleywick/internal/shutdown"
 	"barleywick/internal/sidecar"
 )
 
@@ -48,7 +49,10 @@
 // again.
 func (m *member) Run(ctx context.Context) {
 	for {
-		node, err := gossip.Start(m.options)
+		node, err := shutdown.Await(ctx, func() (*gossip.Node, error) { return gossip.Start(m.options) }) // it reads a file
+		if ctx.Err() != nil {
+			return
+		}
 		if err == nil {
 			m.node.Store(node)
 			if err = node.Run(ctx); ctx.Err() != nil {
