--- a/internal/registry/server/disk_end_test.go
+++ b/internal/registry/server/disk_end_test.go
@@ -203,7 +203,7 @@
 	defer transport.Close()
 	request := &raft.AppendEntriesRequest{
 		RPCHeader: raft.RPCHeader{ProtocolVersion: raft.ProtocolVersionMax, ID: []byte(from.ID), Addr: []byte(from.Raft)},
-		Term:      1000, Leader: []byte(from.Raft),
+		Term:      1000,
 	}
 	var response raft.AppendEntriesResponse
 	err := transport.AppendEntries(raft.ServerID(to.ID), raft.ServerAddress(to.Raft), request, &response)
