--- a/internal/registry/server/checked_log.go
+++ b/internal/registry/server/checked_log.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/crc32"
 	"sync/atomic"
@@ -77,8 +78,9 @@
 	return nil
 }
 
-// verify reads every entry.
-func (l *checkedLog) verify() error {
+// verify reads every entry. The log may have a gap up to the entry that the newest snapshot ends
+// with: a replica that was behind has installed the snapshot, and stores what follows it.
+func (l *checkedLog) verify(snapshotIndex uint64) error {
 	first, err := l.FirstIndex()
 	if err != nil {
 		return err
@@ -88,7 +90,11 @@
 		return err
 	}
 	for i := first; i != 0 && i <= last; i++ {
-		if err := l.GetLog(i, new(raft.Log)); err != nil {
+		err := l.GetLog(i, new(raft.Log))
+		if errors.Is(err, raft.ErrLogNotFound) && i <= snapshotIndex {
+			continue
+		}
+		if err != nil {
 			return fmt.Errorf("entry %d of %d to %d: %w", i, first, last, err)
 		}
 	}
--- a/internal/registry/server/storage.go
+++ b/internal/registry/server/storage.go
@@ -62,16 +62,16 @@
 	_ = os.Remove(path + unfinishedSuffix) // left by a start that was ended; usually there is none
 	s := &storage{bolt: store, terms: newWaitingTermStore(store), isNew: claim.isNew}
 	s.log = &checkedLog{BoltStore: store, calls: s.terms.calls}
-	if err := s.log.verify(); err != nil {
-		s.Close()
-		return nil, fmt.Errorf("log %s: %w", path, err)
-	}
 	snapshots, err := raft.NewFileSnapshotStoreWithLogger(c.DataDir, retainedSnapshots, logger)
 	if err != nil {
 		s.Close()
 		return nil, fmt.Errorf("snapshots in %s: %w", c.DataDir, err)
 	}
 	s.snapshots = &timedSnapshotStore{snapshots, s.terms.calls}
+	if err := s.verify(); err != nil {
+		s.Close()
+		return nil, fmt.Errorf("log %s: %w", path, err)
+	}
 	if !claim.isNew && claim.founder {
 		if s.unfounded, err = s.lacksHistory(); err != nil {
 			s.Close()
@@ -81,6 +81,19 @@
 	return s, nil
 }
 
+// verify reads the whole log.
+func (s *storage) verify() error {
+	snapshots, err := s.snapshots.List()
+	if err != nil {
+		return err
+	}
+	var snapshotIndex uint64
+	if len(snapshots) > 0 { // the newest comes first
+		snapshotIndex = snapshots[0].Index
+	}
+	return s.log.verify(snapshotIndex)
+}
+
 // lacksHistory reports whether there is neither an entry nor a snapshot, and no term beyond the
 // one in which a group is founded: a founder was ended before it had founded its group.
 func (s *storage) lacksHistory() (bool, error) {
