--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -273,7 +273,7 @@
 		call, running := r.storage.terms.calls.oldest()
 		switch {
 		case running && time.Since(begun) >= diskEndTimeout:
-			slog.Warn("registry: ends without a write that its disk has not finished",
+			slog.Warn("registry: ends without a call that its disk has not finished",
 				"call", call.name, "running", time.Since(call.started).Round(time.Millisecond))
 			return true, err
 		case raftEnded && !running:
--- a/internal/registry/server/snapshot_store.go
+++ b/internal/registry/server/snapshot_store.go
@@ -1,9 +1,13 @@
 package server
 
-import "github.com/hashicorp/raft"
+import (
+	"io"
 
-// timedSnapshotStore is a store of snapshots whose writes to the disk are among the
-// replica's diskCalls.
+	"github.com/hashicorp/raft"
+)
+
+// timedSnapshotStore is a store of snapshots whose calls of the disk are among the replica's
+// diskCalls.
 type timedSnapshotStore struct {
 	raft.SnapshotStore
 	calls *diskCalls
@@ -19,6 +23,28 @@
 	return &timedSnapshotSink{sink, s.calls}, nil
 }
 
+// Open opens a snapshot.
+func (s *timedSnapshotStore) Open(id string) (*raft.SnapshotMeta, io.ReadCloser, error) {
+	defer s.calls.begin("snapshot opening")()
+	meta, reader, err := s.SnapshotStore.Open(id)
+	if err != nil {
+		return nil, nil, err
+	}
+	return meta, &timedReader{reader, s.calls}, nil
+}
+
+// timedReader reads a snapshot.
+type timedReader struct {
+	io.ReadCloser
+	calls *diskCalls
+}
+
+// Read reads a part of the snapshot.
+func (r *timedReader) Read(part []byte) (int, error) {
+	defer r.calls.begin("snapshot read")()
+	return r.ReadCloser.Read(part)
+}
+
 // timedSnapshotSink is a snapshot that is being written.
 type timedSnapshotSink struct {
 	raft.SnapshotSink
