--- a/internal/membership/gossip/join.go
+++ b/internal/membership/gossip/join.go
@@ -90,7 +90,7 @@
 		if size := n.Size(); size > callersPerRound && rand.IntN(size) >= callersPerRound {
 			continue
 		}
-		await(ctx, func() { n.reconnect(ctx) })
+		runUntil(ctx, func() { n.reconnect(ctx) })
 	}
 }
 
--- a/internal/membership/gossip/lifecycle.go
+++ b/internal/membership/gossip/lifecycle.go
@@ -97,7 +97,7 @@
 		defer close(saved)
 		n.saveLoop(taskCtx)
 	}()
-	await(ctx, func() { n.join(taskCtx) })
+	runUntil(ctx, func() { n.join(taskCtx) })
 	if err := n.supersede(taskCtx); err != nil {
 		return err
 	}
@@ -115,9 +115,9 @@
 	return n.leave(saved)
 }
 
-// await runs a call that cannot be cancelled, and returns when it has returned or ctx has
+// runUntil runs a call that cannot be cancelled, and returns when it has returned or ctx has
 // ended.
-func await(ctx context.Context, call func()) {
+func runUntil(ctx context.Context, call func()) {
 	returned := make(chan struct{})
 	go func() {
 		defer close(returned)
--- a/internal/registry/server/disk_calls.go
+++ b/internal/registry/server/disk_calls.go
@@ -11,8 +11,8 @@
 // slowDiskCall is how long a call of the disk takes at least to be logged as slow.
 const slowDiskCall = time.Second
 
-// errDiskCallsEnded refuses a write to the disk of a replica that ends.
-var errDiskCallsEnded = errors.New("the replica ends and begins no more writes to its disk")
+// errWritesRefused refuses a write to the disk of a replica that ends.
+var errWritesRefused = errors.New("the replica ends and begins no more writes to its disk")
 
 // diskCall is a call of the disk that is under way.
 type diskCall struct {
@@ -25,8 +25,8 @@
 // have been running. A disk may hang without an error, and Raft's own goroutine hangs with
 // it.
 type diskCalls struct {
-	writing sync.Mutex  // BoltDB takes one write at a time
-	ended   atomic.Bool // no write may begin any more
+	writing  sync.Mutex  // BoltDB takes one write at a time
+	refusing atomic.Bool // no write may begin any more
 
 	mu      sync.Mutex
 	next    uint64
@@ -39,8 +39,8 @@
 	defer c.note(diskCall{name: name, log: true})()
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if c.ended.Load() {
-		return errDiskCallsEnded
+	if c.refusing.Load() {
+		return errWritesRefused
 	}
 	return call()
 }
@@ -69,8 +69,8 @@
 	}
 }
 
-// end refuses writes that have not begun.
-func (c *diskCalls) end() { c.ended.Store(true) }
+// refuseWrites refuses writes that have not begun.
+func (c *diskCalls) refuseWrites() { c.refusing.Store(true) }
 
 // oldest returns the call under way that began first, if there is any.
 func (c *diskCalls) oldest() (oldest diskCall, ok bool) {
--- a/internal/registry/server/group.go
+++ b/internal/registry/server/group.go
@@ -80,7 +80,7 @@
 	if _, err := r.apply(registry.Command{Op: registry.OpPutRecord, Key: memberKeyPrefix + info.ID, Value: text}); err != nil {
 		return err
 	}
-	return r.await(func() raft.Future {
+	return r.awaitOrder(func() raft.Future {
 		return r.raft.AddVoter(raft.ServerID(info.ID), raft.ServerAddress(info.Raft), 0, writeTimeout)
 	})
 }
@@ -93,7 +93,7 @@
 	if !slices.ContainsFunc(r.voters(), func(s raft.Server) bool { return string(s.ID) == id }) {
 		return fmt.Errorf("%w: no replica %.64s in the group", registry.ErrNotFound, id)
 	}
-	if err := r.await(func() raft.Future { return r.raft.RemoveServer(raft.ServerID(id), 0, writeTimeout) }); err != nil {
+	if err := r.awaitOrder(func() raft.Future { return r.raft.RemoveServer(raft.ServerID(id), 0, writeTimeout) }); err != nil {
 		return err
 	}
 	_, err := r.apply(registry.Command{Op: registry.OpDeleteRecord, Key: memberKeyPrefix + id})
--- a/internal/registry/server/leadership.go
+++ b/internal/registry/server/leadership.go
@@ -61,7 +61,7 @@
 // removes what has expired, until ctx ends.
 func (r *Replica) lead(ctx context.Context) {
 	term := r.raft.CurrentTerm()
-	if err := r.await(func() raft.Future { return r.raft.Barrier(writeTimeout) }); err != nil {
+	if err := r.awaitOrder(func() raft.Future { return r.raft.Barrier(writeTimeout) }); err != nil {
 		return // this replica is no leader any more
 	}
 	if _, err := r.apply(registry.Command{Op: registry.OpFoundGroup, Group: r.config.Load().Group}); err != nil {
--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -161,7 +161,7 @@
 	r.transport = newLeaderTransport(network,
 		func(term uint64) error { return r.checkLeadershipClaim(started.Load(), term) },
 		func(id raft.ServerID) bool { return isVoter(started.Load(), id) })
-	if (r.storage.isNew || r.storage.unfounded) && !c.Join {
+	if (r.storage.isNew || r.storage.foundingCutShort) && !c.Join {
 		if err := r.bootstrap(c, settings); err != nil {
 			r.transport.Close()
 			return fmt.Errorf("found the group: %w", err)
@@ -203,7 +203,7 @@
 		group.Servers = append(group.Servers, raft.Server{ID: raft.ServerID(m.ID), Address: raft.ServerAddress(m.Raft)})
 	}
 	err := raft.BootstrapCluster(settings, r.storage.log, r.storage.bolt, r.storage.snapshots, r.transport, group)
-	if errors.Is(err, raft.ErrCantBootstrap) && r.storage.unfounded {
+	if errors.Is(err, raft.ErrCantBootstrap) && r.storage.foundingCutShort {
 		// It was ended between the two writes: there is a term, and no entry.
 		return r.storage.log.StoreLog(&raft.Log{Index: 1, Term: foundingTerm, Type: raft.LogConfiguration, Data: raft.EncodeConfiguration(group)})
 	}
@@ -226,7 +226,7 @@
 // the disk, so it is not waited for any longer than a transfer may take.
 func (r *Replica) transferLeadership() error {
 	transferred := make(chan error, 1)
-	go func() { transferred <- r.await(r.raft.LeadershipTransfer) }() // ends with Raft at the latest
+	go func() { transferred <- r.awaitOrder(r.raft.LeadershipTransfer) }() // ends with Raft at the latest
 	select {
 	case err := <-transferred:
 		return err
@@ -242,9 +242,9 @@
 	r.endPolls()
 	r.broadcaster.close()
 	r.cancel()
-	r.storage.endWrites()
+	r.storage.refuseWrites()
 	transportErr := r.transport.Close()
-	unfinished, raftErr := r.endRaft()
+	unfinished, raftErr := r.shutDownRaft()
 	close(r.raftEnded)
 	r.background.Wait()
 	r.peerClient.CloseIdleConnections()
@@ -254,11 +254,11 @@
 	return errors.Join(raftErr, transportErr, r.storage.Close())
 }
 
-// endRaft ends Raft, and waits for the calls of the disk, some of which Raft's end does not
+// shutDownRaft ends Raft, and waits for the calls of the disk, some of which Raft's end does not
 // wait for. It waits for diskEndTimeout at most where there is one: nobody has been told of
 // what such a call stores, and the log takes it whole or not at all, as in a crash. unfinished
 // says that there is one.
-func (r *Replica) endRaft() (unfinished bool, err error) {
+func (r *Replica) shutDownRaft() (unfinished bool, err error) {
 	begun := time.Now()
 	ended := make(chan error, 1)
 	go func() { ended <- r.raft.Shutdown().Error() }() // ends with the process at the latest
@@ -282,10 +282,10 @@
 	}
 }
 
-// await waits for what becomes of an order to Raft. At its end the library leaves unanswered
+// awaitOrder waits for what becomes of an order to Raft. At its end the library leaves unanswered
 // what its log has committed and its state machine has not applied, and while the disk hangs it
 // takes no order and answers none.
-func (r *Replica) await(order func() raft.Future) error {
+func (r *Replica) awaitOrder(order func() raft.Future) error {
 	answered := make(chan error, 1)
 	go func() { answered <- order().Error() }() // one that is never answered ends with the process
 	poll := time.NewTicker(diskPollInterval)
@@ -329,7 +329,7 @@
 		return registry.Result{}, fmt.Errorf("write command: %w", err)
 	}
 	var future raft.ApplyFuture
-	err = r.await(func() raft.Future {
+	err = r.awaitOrder(func() raft.Future {
 		future = r.raft.Apply(text, writeTimeout)
 		return future
 	})
--- a/internal/registry/server/run.go
+++ b/internal/registry/server/run.go
@@ -32,7 +32,7 @@
 	case <-stop.Done():
 	}
 	if stop.Err() != nil {
-		return s.end()
+		return s.shutDown()
 	}
 	if s.err != nil {
 		return s.err
@@ -40,9 +40,9 @@
 	slog.Info("registry: serving", "group", s.config.Group, "id", s.config.ID, "http", s.config.Self().HTTP, "raft", s.config.Self().Raft)
 	server := s.replica.HTTPServer()
 	err := s.replica.serve(stop, reload, server, s.listener, path)
-	sequence := beginEnd()
+	sequence := beginShutdown()
 	defer sequence.End()
-	return errors.Join(err, s.replica.end(sequence, server, s.leave))
+	return errors.Join(err, s.replica.shutDown(sequence, server, s.leave))
 }
 
 // replicaStart is the start of a replica as a process. It may take long: it reads files, and
@@ -99,11 +99,11 @@
 	return nil
 }
 
-// end waits for a start that was told to end, for as long as calls of the disk are waited for:
+// shutDown waits for a start that was told to end, for as long as calls of the disk are waited for:
 // what it would store is stored whole or not at all, and nobody has been told of it. A start
 // that is over ends in order.
-func (s *replicaStart) end() error {
-	sequence := beginEnd()
+func (s *replicaStart) shutDown() error {
+	sequence := beginShutdown()
 	defer sequence.End()
 	over := false
 	_ = sequence.Step("start", func() error {
@@ -122,18 +122,18 @@
 		return s.err // nil if the start has ended because it was told to
 	}
 	s.listener.Close()
-	return s.replica.end(sequence, s.replica.HTTPServer(), s.leave)
+	return s.replica.shutDown(sequence, s.replica.HTTPServer(), s.leave)
 }
 
-// beginEnd begins the end of the process, which has a bound.
-func beginEnd() *shutdown.Sequence {
+// beginShutdown begins the end of the process, which has a bound.
+func beginShutdown() *shutdown.Sequence {
 	sequence := shutdown.Begin("registry", endBound) // first: the log may be stuck
 	slog.Info("registry: shutting down")
 	return sequence
 }
 
-// end ends the replica step by step.
-func (r *Replica) end(sequence *shutdown.Sequence, server *http.Server, leave func()) error {
+// shutDown ends the replica step by step.
+func (r *Replica) shutDown(sequence *shutdown.Sequence, server *http.Server, leave func()) error {
 	steps := []struct {
 		name string
 		run  func() error
@@ -154,7 +154,7 @@
 // then on nobody has anything to gain from what this replica stores: it begins no further
 // write, as for a vote, while the steps that follow take their time.
 func (r *Replica) finishCalls(server *http.Server) error {
-	defer r.storage.endWrites()
+	defer r.storage.refuseWrites()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/internal/registry/server/storage.go
+++ b/internal/registry/server/storage.go
@@ -24,14 +24,14 @@
 // storage is what a replica has on disk: Raft's log, terms and votes in one BoltDB file,
 // snapshots, and the identity of the folder.
 type storage struct {
-	bolt      *raftboltdb.BoltStore
-	log       *checkedLog       // in bolt
-	terms     *waitingTermStore // in bolt
-	snapshots raft.SnapshotStore
-	isNew     bool // the folder held no log
-	unfounded bool // a founder's folder held a log without history
+	bolt             *raftboltdb.BoltStore
+	log              *checkedLog       // in bolt
+	terms            *waitingTermStore // in bolt
+	snapshots        raft.SnapshotStore
+	isNew            bool // the folder held no log
+	foundingCutShort bool // a founder's folder held a log without history
 
-	endWritesOnce sync.Once
+	refuseWritesOnce sync.Once
 }
 
 // openStorage opens the data folder. It refuses one that is another replica's or that
@@ -73,7 +73,7 @@
 		return nil, fmt.Errorf("log %s: %w", path, err)
 	}
 	if !claim.isNew && claim.founder {
-		if s.unfounded, err = s.lacksHistory(); err != nil {
+		if s.foundingCutShort, err = s.lacksHistory(); err != nil {
 			s.Close()
 			return nil, fmt.Errorf("log %s: %w", path, err)
 		}
@@ -145,11 +145,11 @@
 	return errors.Join(folder.Sync(), folder.Close())
 }
 
-// endWrites refuses the log, the terms and the votes that have not begun to be written.
+// refuseWrites refuses the log, the terms and the votes that have not begun to be written.
 // Raft takes each of them for one that could not be stored.
-func (s *storage) endWrites() {
-	s.endWritesOnce.Do(func() {
-		s.terms.calls.end()
+func (s *storage) refuseWrites() {
+	s.refuseWritesOnce.Do(func() {
+		s.terms.calls.refuseWrites()
 		close(s.terms.closing)
 	})
 }
--- a/internal/registry/server/term_store.go
+++ b/internal/registry/server/term_store.go
@@ -53,7 +53,7 @@
 	if err == nil {
 		return nil
 	}
-	if !errors.Is(err, errDiskCallsEnded) {
+	if !errors.Is(err, errWritesRefused) {
 		slog.Error("raft: term not stored, replica takes no part until it is", "term", value, "err", err)
 	}
 	s.waiting.Add(1)
--- a/internal/testing/integration/actor_test.go
+++ b/internal/testing/integration/actor_test.go
@@ -18,7 +18,7 @@
 	"barleywick/internal/registry/client"
 )
 
-// runActor is a keeper whose tasks are to act: towards the witness, which knows no
+// runActor is a controller whose tasks are to act: towards the witness, which knows no
 // tokens, and by fenced writes to the registry.
 func runActor() error {
 	stop, _ := signals()
--- a/internal/testing/integration/handover_test.go
+++ b/internal/testing/integration/handover_test.go
@@ -58,7 +58,7 @@
 			kind := map[string]faultinjection.FaultKind{"killed": faultinjection.Crash, "cut off": faultinjection.Partition, "stopped": faultinjection.Pause}[how]
 			var took []time.Duration
 			for turn := 0; len(took) < samples; turn++ {
-				holder := r.keepers[turn%len(r.keepers)]
+				holder := r.controllers[turn%len(r.controllers)]
 				var its []string
 				for name, l := range r.leases(c) {
 					if l.Grant != nil && l.Grant.Name == holder && name != "keeper:"+holder {
@@ -103,7 +103,7 @@
 	}
 }
 
-// Half of the keepers are killed at once, with 200 tasks on all of them: each task is
+// Half of the controllers are killed at once, with 200 tasks on all of them: each task is
 // somebody's again within the bound, and no two act.
 func TestHandoverOfMany(t *testing.T) {
 	if !long {
@@ -116,7 +116,7 @@
 	r.acted(w, tasks, 0)
 	for turn := range 3 {
 		begun := w.now()
-		two := []string{r.keepers[turn], r.keepers[turn+1]}
+		two := []string{r.controllers[turn], r.controllers[turn+1]}
 		for _, k := range two {
 			r.Processes[k].Kill()
 		}
@@ -134,7 +134,7 @@
 			w.mu.Unlock()
 			most = max(most, first-begun)
 		}
-		t.Logf("%d tasks, half of the keepers killed: the last is acted for after %.2f lease lengths", tasks, float64(most)/float64(leaseMS*time.Millisecond))
+		t.Logf("%d tasks, half of the controllers killed: the last is acted for after %.2f lease lengths", tasks, float64(most)/float64(leaseMS*time.Millisecond))
 		if most > 3*leaseMS*time.Millisecond { // as for one, and some hundred writes
 			t.Errorf("one task is nobody's for %v", most)
 		}
@@ -145,12 +145,12 @@
 		}
 		r.acted(w, tasks, w.now()+3*leaseMS*time.Millisecond)
 	}
-	if j := w.judge(t, nil, false); j.Acts < 10*tasks || j.Grants < tasks {
-		t.Errorf("too little was judged: %+v", j)
+	if j := w.verify(t, nil, false); j.Acts < 10*tasks || j.Grants < tasks {
+		t.Errorf("too little was seen: %+v", j)
 	}
 }
 
-// firstAct is when somebody other than a keeper acted for a task first after a time.
+// firstAct is when somebody other than a controller acted for a task first after a time.
 func (w *witness) firstAct(task, than string, after time.Duration) (first time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -162,19 +162,19 @@
 	return first
 }
 
-// settled says whether a keeper that is back holds or waits for what falls to it.
-func (r *rig) settled(w *witness, keeper string) bool {
-	if !r.Processes[keeper].Running() {
+// settled says whether a controller that is back holds or waits for what falls to it.
+func (r *rig) settled(w *witness, name string) bool {
+	if !r.Processes[name].Running() {
 		return false
 	}
-	return w.lastActBy(keeper) > w.now()-time.Second
+	return w.lastActBy(name) > w.now()-time.Second
 }
 
-func (w *witness) lastActBy(keeper string) (last time.Duration) {
+func (w *witness) lastActBy(name string) (last time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, a := range w.acts {
-		if a.by[:len(keeper)] == keeper {
+		if a.by[:len(name)] == name {
 			last = max(last, a.begin)
 		}
 	}
--- a/internal/testing/integration/harness_test.go
+++ b/internal/testing/integration/harness_test.go
@@ -40,7 +40,7 @@
 )
 
 func TestMain(m *testing.M) {
-	run := map[string]func() error{"registry": runRegistry, "sidecar": runSidecar, "actor": runActor, "keeper": runKeeper, failingRole: runFailing, cutOffRole: runCutOff}[os.Getenv(roleVariable)]
+	run := map[string]func() error{"registry": runRegistry, "sidecar": runSidecar, "actor": runActor, "keeper": runController, failingRole: runFailing, cutOffRole: runCutOff}[os.Getenv(roleVariable)]
 	if run == nil {
 		os.Exit(m.Run())
 	}
--- a/internal/testing/integration/lease_test.go
+++ b/internal/testing/integration/lease_test.go
@@ -39,16 +39,16 @@
 	if long {
 		seeds, faults = 10, 40
 	}
-	var all judged
+	var all verdict
 	done := 0
 	for seed := range uint64(seeds) {
 		w := startWitness(t)
 		r := startRig(t, seed, 5, tasks, w.addr, members...)
 		r.acted(w, tasks, 0)
-		targets := append([]string{"r0", "r1", "r2"}, r.keepers...)
+		targets := append([]string{"r0", "r1", "r2"}, r.controllers...)
 		if len(members) > 0 {
-			// Which keeper holds a task is not drawn by the seed. With few faults, most have to
-			// hit whoever does, or too little changes hands to be judged.
+			// Which controller holds a task is not drawn by the seed. With few faults, most have to
+			// hit whoever does, or too little changes hands to be seen.
 			targets = append(targets, r.holdersAsTargets(tasks)...)
 		}
 		plan := faultinjection.Plan{
@@ -77,24 +77,24 @@
 		for p := range pauses {
 			stopped = append(stopped, p)
 		}
-		j := w.judge(t, stopped, false)
+		j := w.verify(t, stopped, false)
 		for _, n := range r.Injected {
 			done += n
 		}
-		t.Logf("seed %d: %d faults %v; judged: %+v", seed, len(s), r.Injected, j)
+		t.Logf("seed %d: %d faults %v; seen: %+v", seed, len(s), r.Injected, j)
 		if t.Failed() {
 			t.Fatalf("to play it again: %s='%v' go test -run '^%s$' ./internal/testing/integration", scheduleVariable, shrunk(t, s), t.Name())
 		}
 		for _, p := range r.Processes {
 			p.Kill()
 		}
-		all = judged{all.Acts + j.Acts, all.Excused + j.Excused, all.Grants + j.Grants, all.Writes + j.Writes, all.Fenced + j.Fenced, all.Unknown + j.Unknown, all.Reads + j.Reads}
+		all = verdict{all.Acts + j.Acts, all.Excused + j.Excused, all.Grants + j.Grants, all.Writes + j.Writes, all.Fenced + j.Fenced, all.Unknown + j.Unknown, all.Reads + j.Reads}
 	}
 	if os.Getenv(scheduleVariable) != "" {
 		return // one that was shrunk may have few faults
 	}
 	if all.Acts < 100*seeds || all.Grants < 5*seeds || all.Writes < 100*seeds || all.Reads < 20*seeds || done < faults*seeds/2 {
-		t.Errorf("too little was judged: %+v, %d faults", all, done)
+		t.Errorf("too little was seen: %+v, %d faults", all, done)
 	}
 }
 
@@ -118,7 +118,7 @@
 }
 
 // A majority of the registry is lost: nobody gains a lease, holders stop in time, and
-// all goes on when it is back. Then all keepers are killed at once.
+// all goes on when it is back. Then all controllers are killed at once.
 func TestMajorityLost(t *testing.T) {
 	if testing.Short() {
 		t.Skip("it starts real processes")
@@ -148,17 +148,17 @@
 		}
 	}
 	r.acted(w, tasks, w.now())
-	for _, k := range r.keepers {
+	for _, k := range r.controllers {
 		r.Processes[k].Kill()
 	}
-	for _, k := range r.keepers {
+	for _, k := range r.controllers {
 		if err := r.Processes[k].Start(); err != nil {
 			t.Fatal(err)
 		}
 	}
 	r.acted(w, tasks, w.now())
-	if j := w.judge(t, nil, false); j.Acts < 40 || j.Grants < 2*tasks {
-		t.Errorf("too little was judged: %+v", j)
+	if j := w.verify(t, nil, false); j.Acts < 40 || j.Grants < 2*tasks {
+		t.Errorf("too little was seen: %+v", j)
 	}
 }
 
@@ -232,8 +232,8 @@
 	}
 	room()
 	handOver("with room again")
-	if j := w.judge(t, nil, false); j.Acts < 40 || j.Grants < 2*tasks || r.Injected[faultinjection.DiskFull] != 4 {
-		t.Errorf("too little was judged: %+v", j)
+	if j := w.verify(t, nil, false); j.Acts < 40 || j.Grants < 2*tasks || r.Injected[faultinjection.DiskFull] != 4 {
+		t.Errorf("too little was seen: %+v", j)
 	}
 }
 
@@ -262,8 +262,8 @@
 	})
 	before = w.count()
 	eventually(t, "they go on for a while", func() bool { return w.count() > before+100 })
-	if j := w.judge(t, nil, false); j.Acts < 250 || j.Grants < tasks {
-		t.Errorf("too little was judged: %+v", j)
+	if j := w.verify(t, nil, false); j.Acts < 250 || j.Grants < tasks {
+		t.Errorf("too little was seen: %+v", j)
 	}
 }
 
@@ -289,7 +289,7 @@
 		if err := c.Restore(ctx, backup); err != nil {
 			t.Fatal(err)
 		}
-		k := r.Processes[r.keepers[i]]
+		k := r.Processes[r.controllers[i]]
 		k.Kill()
 		r.acted(w, tasks, w.now())
 		if err := k.Start(); err != nil {
@@ -298,8 +298,8 @@
 	}
 	before := w.count()
 	eventually(t, "they go on for a while", func() bool { return w.count() > before+200 })
-	if j := w.judge(t, nil, true); j.Acts < 150 || j.Grants < 2*tasks {
-		t.Errorf("too little was judged: %+v", j)
+	if j := w.verify(t, nil, true); j.Acts < 150 || j.Grants < 2*tasks {
+		t.Errorf("too little was seen: %+v", j)
 	}
 }
 
@@ -338,8 +338,8 @@
 		}
 		r.acted(w, tasks, w.now()+leaseMS*time.Millisecond)
 	}
-	if j := w.judge(t, nil, false); j.Acts < 30*rounds || j.Grants < 2*rounds {
-		t.Errorf("too little was judged: %+v", j)
+	if j := w.verify(t, nil, false); j.Acts < 30*rounds || j.Grants < 2*rounds {
+		t.Errorf("too little was seen: %+v", j)
 	}
 }
 
@@ -375,7 +375,7 @@
 		}
 		r.acted(w, tasks, w.now()+leaseMS*time.Millisecond)
 	}
-	if j := w.judge(t, nil, false); j.Acts < 30*rounds || j.Grants < rounds {
-		t.Errorf("too little was judged: %+v", j)
+	if j := w.verify(t, nil, false); j.Acts < 30*rounds || j.Grants < rounds {
+		t.Errorf("too little was seen: %+v", j)
 	}
 }
--- a/internal/testing/integration/members_test.go
+++ b/internal/testing/integration/members_test.go
@@ -24,11 +24,11 @@
 	addrs map[string]string // where sidecars serve
 }
 
-// startMembers starts three replicas, some keepers with more in their files, and some sidecars.
-func startMembers(t *testing.T, seed uint64, keepers, sidecars int, rest string) *memberRig {
+// startMembers starts three replicas, some controllers with more in their files, and some sidecars.
+func startMembers(t *testing.T, seed uint64, controllers, sidecars int, rest string) *memberRig {
 	t.Helper()
 	m := &memberRig{rig: &rig{t: t}, asked: make(map[string]string), addrs: make(map[string]string), names: []string{"r0", "r1", "r2"}}
-	for i := range keepers {
+	for i := range controllers {
 		m.names = append(m.names, fmt.Sprint("k", i))
 	}
 	for i := range sidecars {
@@ -38,9 +38,9 @@
 	for _, r := range m.members {
 		m.asked[r.ID] = "http://" + r.HTTP + registry.APIPath + membership.ViewPath
 	}
-	for i := range keepers {
+	for i := range controllers {
 		name := fmt.Sprint("k", i)
-		m.keeper(name, "keeper", rest)
+		m.addController(name, "keeper", rest)
 		m.asked[name] = "http://" + m.listens[name] + "/" + membership.ViewPath
 	}
 	for i := range sidecars {
@@ -280,7 +280,7 @@
 	// In their turn the shards look at the list once an hour; so those that do it now have
 	// come to it before or after the server has.
 	asked := 0
-	eventually(t, "a keeper looks at the server for a reason", func() bool {
+	eventually(t, "a controller looks at the server for a reason", func() bool {
 		asked++
 		askOnce(http.DefaultClient, m.addrs["s0"], fmt.Sprint("q", asked), "once", func() {})
 		return strings.Contains(m.Processes["k0"].Output()+m.Processes["k1"].Output(), "controller: probing suspected server")
@@ -319,7 +319,7 @@
 	})
 	seen := w.count()
 	eventually(t, "they have acted for a while since", func() bool { return w.count() > seen+100 })
-	if j := w.judge(t, nil, false); j.Acts < 100 || j.Grants < tasks {
-		t.Errorf("too little was judged: %+v", j)
+	if j := w.verify(t, nil, false); j.Acts < 100 || j.Grants < tasks {
+		t.Errorf("too little was seen: %+v", j)
 	}
 }
--- a/internal/testing/integration/overload_test.go
+++ b/internal/testing/integration/overload_test.go
@@ -59,7 +59,7 @@
 	for i := range 2 {
 		name := fmt.Sprint("k", i)
 		desks[name] = freeAddr(t)
-		f.keeper(name, "keeper", fmt.Sprintf("[overload]\nfleet = \"test\"\nlisten = %q\n", desks[name]))
+		f.addController(name, "keeper", fmt.Sprintf("[overload]\nfleet = \"test\"\nlisten = %q\n", desks[name]))
 	}
 	for i := range sidecars {
 		name, addr := fmt.Sprint("n", i), freeAddr(t)
@@ -72,7 +72,7 @@
 			via(m.ID, m.HTTP)
 			addrs = append(addrs, m.HTTP)
 		}
-		for _, k := range f.keepers {
+		for _, k := range f.controllers {
 			via(k, desks[k])
 		}
 		config := map[string]any{
--- a/internal/testing/integration/policy_test.go
+++ b/internal/testing/integration/policy_test.go
@@ -25,7 +25,7 @@
 	"barleywick/internal/testing/faultinjection"
 )
 
-func runKeeper() error {
+func runController() error {
 	stop, _ := signals()
 	c, err := controller.LoadConfig(os.Getenv(configVariable))
 	if err != nil {
@@ -97,7 +97,7 @@
 
 // fleet under policy: sidecars with relays to the registry, and clients that keep each
 // of them busy.
-type governed struct {
+type policyFleet struct {
 	*rig
 	o     *observer
 	names []string
@@ -116,14 +116,14 @@
 	times []time.Duration // of requests served, since they were asked for last
 }
 
-func startGoverned(t testing.TB, seed uint64, sidecars int, folder bool, machine string) *governed {
+func startPolicyFleet(t testing.TB, seed uint64, sidecars int, folder bool, machine string) *policyFleet {
 	t.Helper()
 	o := startObserver(t)
 	r := &rig{t: t}
-	g := &governed{rig: r, o: o, addrs: make(map[string]string), folders: make(map[string]string)}
+	g := &policyFleet{rig: r, o: o, addrs: make(map[string]string), folders: make(map[string]string)}
 	r.begin(seed)
 	for i := range 2 {
-		r.keeper(fmt.Sprint("k", i), "keeper", fmt.Sprintf("[policy]\nmachine = %q\n", machine))
+		r.addController(fmt.Sprint("k", i), "keeper", fmt.Sprintf("[policy]\nmachine = %q\n", machine))
 	}
 	for i := range sidecars {
 		name := fmt.Sprint("n", i)
@@ -170,7 +170,7 @@
 	return g
 }
 
-func (g *governed) serves(name string) bool {
+func (g *policyFleet) serves(name string) bool {
 	resp, err := http.Get("http://" + g.addrs[name] + "/health/ready")
 	if err != nil {
 		return false
@@ -179,7 +179,7 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func (g *governed) allServe() {
+func (g *policyFleet) allServe() {
 	g.t.Helper()
 	for _, n := range g.names {
 		eventually(g.t, n+" serves", func() bool { return g.serves(n) })
@@ -187,7 +187,7 @@
 }
 
 // load has clients ask each sidecar for more than any policy lets through.
-func (g *governed) load(clients int) {
+func (g *policyFleet) load(clients int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.stop = cancel
 	for _, name := range g.names {
@@ -204,14 +204,14 @@
 	g.t.Cleanup(g.end)
 }
 
-func (g *governed) end() {
+func (g *policyFleet) end() {
 	if g.stop != nil {
 		g.stop()
 		g.asking.Wait()
 	}
 }
 
-func (g *governed) once(c *http.Client, name, id string) {
+func (g *policyFleet) once(c *http.Client, name, id string) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+g.addrs[name]+"/api", nil)
 	if err != nil {
 		return
@@ -247,13 +247,13 @@
 }
 
 // change proposes a policy and returns when it is over, with what became of it.
-func (g *governed) change(c *client.Client, d *rollout.Document, within time.Duration) (outcome string, number uint64) {
+func (g *policyFleet) change(c *client.Client, d *rollout.Document, within time.Duration) (outcome string, number uint64) {
 	g.t.Helper()
 	return g.changeFirst(c, d, within, 0, 0)
 }
 
 // changeFirst is change with a part that goes ahead for a while.
-func (g *governed) changeFirst(c *client.Client, d *rollout.Document, within time.Duration, first float64, watch time.Duration) (outcome string, number uint64) {
+func (g *policyFleet) changeFirst(c *client.Client, d *rollout.Document, within time.Duration, first float64, watch time.Duration) (outcome string, number uint64) {
 	g.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -284,7 +284,7 @@
 }
 
 // everywhere waits until each sidecar that is up says that it acts by an epoch alone.
-func (g *governed) everywhere(epoch uint64) {
+func (g *policyFleet) everywhere(epoch uint64) {
 	g.t.Helper()
 	for _, n := range g.names {
 		eventually(g.t, fmt.Sprintf("%s acts by epoch %d", n, epoch), func() bool {
@@ -310,7 +310,7 @@
 	if long {
 		sidecars, changes = 24, 100
 	}
-	g := startGoverned(t, 1, sidecars, true, "")
+	g := startPolicyFleet(t, 1, sidecars, true, "")
 	c := g.rig.client()
 	outcome, epoch := g.change(c, doc(6, rollout.ModeCarry), patience)
 	if outcome != "committed" {
@@ -322,7 +322,7 @@
 	inForce, committed, nowhere := 6, 0, 0
 	g.o.look()
 	for i := range changes {
-		// At most a quorum less one of the replicas, a keeper and a few sidecars.
+		// At most a quorum less one of the replicas, a controller and a few sidecars.
 		of := []string{"k0", "r" + fmt.Sprint(i%3), g.names[rng.IntN(sidecars)], g.names[rng.IntN(sidecars)]}
 		kinds := []faultinjection.FaultKind{faultinjection.Partition, faultinjection.BlockOutbound, faultinjection.BlockInbound, faultinjection.ResetConnections, faultinjection.DropResponses, faultinjection.Pause, faultinjection.Crash}
 		var s faultinjection.Schedule
@@ -381,7 +381,7 @@
 	}
 	t.Logf("%d changes, %d committed, %d nowhere; %d faults %v; %d requests asked, %d served, %d lost, %d doubled", changes, committed, nowhere, done, g.Injected, g.sent.Load(), g.served.Load(), g.lost.Load(), g.twice.Load())
 	if committed < changes/3 || done < 2*changes || g.served.Load() < int64(20*changes) || g.lost.Load() > 0 || g.twice.Load() > 0 {
-		t.Error("too little was judged, or something was lost or doubled")
+		t.Error("too little was seen, or something was lost or doubled")
 	}
 }
 
@@ -392,7 +392,7 @@
 		t.Skip("it starts real processes")
 	}
 	t.Parallel()
-	g := startGoverned(t, 2, 3, false, "")
+	g := startPolicyFleet(t, 2, 3, false, "")
 	c := g.rig.client()
 	cut := func() (heal func() error) {
 		t.Helper()
@@ -459,13 +459,13 @@
 
 // A part goes ahead and is compared with the rest: a policy that has it refuse much more
 // is taken back by itself, one that does not goes on. Then a sidecar's process goes: a
-// keeper on its machine sees it, and no change waits for it.
+// controller on its machine sees it, and no change waits for it.
 func TestPolicyCanaryAndEvidence(t *testing.T) {
 	if testing.Short() {
 		t.Skip("it starts real processes")
 	}
 	t.Parallel()
-	g := startGoverned(t, 4, 4, false, "m")
+	g := startPolicyFleet(t, 4, 4, false, "m")
 	c := g.rig.client()
 	outcome, first := g.change(c, doc(8, rollout.ModeCarry), patience)
 	if outcome != "committed" {
@@ -487,7 +487,7 @@
 		t.Errorf("with the process of n0 gone: %s", outcome)
 	}
 	if !strings.Contains(g.Processes["k0"].Output()+g.Processes["k1"].Output(), "policy: sidecar process ended") {
-		t.Error("no keeper has seen it")
+		t.Error("no controller has seen it")
 	}
 	if g.end(); g.served.Load() < 200 {
 		t.Errorf("%d requests were served", g.served.Load())
@@ -501,7 +501,7 @@
 		t.Skip("it starts real processes")
 	}
 	t.Parallel()
-	g := startGoverned(t, 3, 2, true, "")
+	g := startPolicyFleet(t, 3, 2, true, "")
 	c := g.rig.client()
 	outcome, epoch := g.change(c, doc(4, rollout.ModeCarry), patience)
 	if outcome != "committed" {
--- a/internal/testing/integration/policytimes_test.go
+++ b/internal/testing/integration/policytimes_test.go
@@ -68,14 +68,14 @@
 			r := &rig{t: t}
 			r.begin(1)
 			for i := range 3 {
-				r.keeper(fmt.Sprint("k", i), "keeper", "[policy]\n")
+				r.addController(fmt.Sprint("k", i), "keeper", "[policy]\n")
 			}
 			for _, p := range r.Processes {
 				if err := p.Start(); err != nil {
 					t.Fatal(err)
 				}
 			}
-			g := &governed{rig: r}
+			g := &policyFleet{rig: r}
 			c := r.client()
 			ctx, end := context.WithCancel(context.Background())
 			var running sync.WaitGroup
@@ -154,7 +154,7 @@
 	if long {
 		sidecars, changes = 12, 100
 	}
-	g := startGoverned(t, 4, sidecars, false, "")
+	g := startPolicyFleet(t, 4, sidecars, false, "")
 	c := g.rig.client()
 	outcome, epoch := g.change(c, doc(6, rollout.ModeRefuse), patience)
 	if outcome != "committed" {
@@ -195,7 +195,7 @@
 	if !long {
 		t.Skip("it takes minutes: BARLEYWICK_LONG=1")
 	}
-	g := startGoverned(t, 5, 6, false, "")
+	g := startPolicyFleet(t, 5, 6, false, "")
 	c := g.rig.client()
 	if outcome, _ := g.change(c, doc(8, rollout.ModeCarry), patience); outcome != "committed" {
 		t.Fatal(outcome)
--- a/internal/testing/integration/rig_test.go
+++ b/internal/testing/integration/rig_test.go
@@ -34,17 +34,17 @@
 	scheduleVariable = "SYSTEMTEST_SCHEDULE" // a schedule to play instead of those drawn
 )
 
-// rig is three replicas and some keepers, every link between two of which is a relay.
+// rig is three replicas and some controllers, every link between two of which is a relay.
 type rig struct {
 	t testing.TB
 	*faultinjection.Injector
-	members []registry.ReplicaInfo
-	keepers []string
-	routes  map[string]addressmap.Map // by process
-	env     map[string][]string       // of keepers
-	gossip  map[string]string         // where members listen, by process; empty: there is no membership
-	listens map[string]string         // where keepers that are members serve
-	files   map[string]string         // the replicas' configurations
+	members     []registry.ReplicaInfo
+	controllers []string
+	routes      map[string]addressmap.Map // by process
+	env         map[string][]string       // of controllers
+	gossip      map[string]string         // where members listen, by process; empty: there is no membership
+	listens     map[string]string         // where controllers that are members serve
+	files       map[string]string         // the replicas' configurations
 }
 
 // fleet makes every process of these names a member, with a link to each other.
@@ -112,13 +112,13 @@
 	}}
 }
 
-// startRig starts replicas and keepers whose tasks are to act.
-func startRig(t testing.TB, seed uint64, keepers, tasks int, witness string, members ...string) *rig {
+// startRig starts replicas and controllers whose tasks are to act.
+func startRig(t testing.TB, seed uint64, controllers, tasks int, witness string, members ...string) *rig {
 	t.Helper()
 	r := &rig{t: t}
 	r.begin(seed, members...)
-	for i := range keepers {
-		r.keeper(fmt.Sprint("k", i), "actor", "", witnessVariable+"="+witness, tasksVariable+"="+strconv.Itoa(tasks))
+	for i := range controllers {
+		r.addController(fmt.Sprint("k", i), "actor", "", witnessVariable+"="+witness, tasksVariable+"="+strconv.Itoa(tasks))
 	}
 	for _, p := range r.Processes {
 		if err := p.Start(); err != nil {
@@ -173,10 +173,10 @@
 	}
 }
 
-// keeper makes a keeper, which does not run yet.
-func (r *rig) keeper(name, role, rest string, env ...string) {
+// addController makes a controller, which does not run yet.
+func (r *rig) addController(name, role, rest string, env ...string) {
 	r.t.Helper()
-	r.keepers = append(r.keepers, name)
+	r.controllers = append(r.controllers, name)
 	var addrs, routes []string
 	for _, m := range r.members {
 		r.reach(name+">"+m.ID, name, m.HTTP)
@@ -280,7 +280,7 @@
 		if g := r.leases(c)[task].Grant; g != nil {
 			return g.Name
 		}
-		return r.keepers[0] // nobody holds it: the fault may hit any of them
+		return r.controllers[0] // nobody holds it: the fault may hit any of them
 	}
 	for i := range tasks {
 		for range 3 {
@@ -303,7 +303,7 @@
 	return leader
 }
 
-// anotherActs waits until the last to act for a task is another than a keeper.
+// anotherActs waits until the last to act for a task is another than a controller.
 func (r *rig) anotherActs(w *witness, task, than string) {
 	r.t.Helper()
 	eventually(r.t, "another acts for "+task, func() bool {
--- a/internal/testing/integration/witness_test.go
+++ b/internal/testing/integration/witness_test.go
@@ -25,7 +25,7 @@
 	mu   sync.Mutex
 	acts []act
 	ops  map[string]*op
-	two  []string // ids that two calls had: one of them is not judged
+	two  []string // ids that two calls had: one of them is not counted
 }
 
 type act struct {
@@ -114,19 +114,19 @@
 	begin, end time.Duration
 }
 
-// judged is what a judgement rested on.
-type judged struct {
+// verdict is what a check has seen.
+type verdict struct {
 	Acts, Excused, Grants, Writes, Fenced, Unknown, Reads int
 }
 
-// judge looks for two that acted at once. An act of a process that was stopped within
+// verify looks for two that acted at once. An act of a process that was stopped within
 // it, or between its look at the clock and its call, is outside the bounds of timed
 // acts: the first that it began before it was stopped, or up to a moment after it went on.
-func (w *witness) judge(t testing.TB, pauses []paused, restored bool) judged {
+func (w *witness) verify(t testing.TB, pauses []paused, restored bool) verdict {
 	t.Helper()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var j judged
+	var j verdict
 	j.Acts = len(w.acts)
 	slices.SortFunc(w.acts, func(a, b act) int { return cmp.Compare(a.begin, b.begin) })
 	owner := make(map[uint64]string)
@@ -178,7 +178,7 @@
 }
 
 // order checks that no fenced write has taken effect after one with a later token.
-func (j *judged) order(t testing.TB, task string, ops []*op) {
+func (j *verdict) order(t testing.TB, task string, ops []*op) {
 	t.Helper()
 	var done []*op
 	for _, o := range ops {
@@ -207,7 +207,7 @@
 
 // linearizable holds the history of one record against a register. A write that was fenced
 // off may have been done by an earlier try of the same call.
-func (j *judged) linearizable(t testing.TB, task string, ops []*op) {
+func (j *verdict) linearizable(t testing.TB, task string, ops []*op) {
 	t.Helper()
 	var calls []linearizability.Operation
 	for _, o := range ops {
