--- a/cmd/controller/main_test.go
+++ b/cmd/controller/main_test.go
@@ -133,6 +133,9 @@
 				if strings.Contains(log.String(), "shutdown: cut off") {
 					t.Errorf("its watchdog had to end it: %v\n%s", err, log.String())
 				}
+				if name == "serve" && err != nil { // a check that was not made has failed
+					t.Errorf("it ended with %v, want status 0:\n%s", err, log.String())
+				}
 			case <-time.After(endBound):
 				_ = cmd.Process.Kill()
 				t.Errorf("it has not ended %v after SIGTERM:\n%s", endBound, log.String())
--- a/cmd/sidecar-metrics/main_test.go
+++ b/cmd/sidecar-metrics/main_test.go
@@ -51,6 +51,33 @@
 	return address
 }
 
+// startSidecar starts a sidecar whose configuration has one more table, until the test ends.
+func startSidecar(t *testing.T, discovery, key string, table any) *faultinjection.Process {
+	t.Helper()
+	text, err := json.Marshal(map[string]any{
+		"name": "n0", "listen": freeAddr(t), "discovery": discovery, "seed": "ff", key: table,
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256},
+		"settings": json.RawMessage(`{"balancers":1,"caps":{"most_tries":3},"classes":[{"name":"a","aim_ms":500,"hard_limit_ms":1000}]}`),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	process := &faultinjection.Process{Name: "sidecar", NewCommand: func() *exec.Cmd {
+		cmd := exec.Command(os.Args[0], "--log-level", "debug")
+		cmd.Env = append(os.Environ(), "BARLEYWICK_RUN_MAIN=1", "ROUTER_CONFIG="+path)
+		return cmd
+	}}
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(process.Kill)
+	return process
+}
+
 // A sidecar that is told to end while it starts, and waits for something that does not answer, ends
 // in order and soon, not after what it waits for.
 func TestEndWhileStarting(t *testing.T) {
@@ -75,34 +102,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			text, err := json.Marshal(map[string]any{
-				"name": "n0", "listen": freeAddr(t), "discovery": silent, "seed": "ff", x.key: x.table,
-				"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256},
-				"settings": json.RawMessage(`{"balancers":1,"caps":{"most_tries":3},"classes":[{"name":"a","aim_ms":500,"hard_limit_ms":1000}]}`),
-			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			path := filepath.Join(t.TempDir(), "config.json")
-			if err := os.WriteFile(path, text, 0o600); err != nil {
-				t.Fatal(err)
-			}
-			process := &faultinjection.Process{Name: "sidecar", NewCommand: func() *exec.Cmd {
-				cmd := exec.Command(os.Args[0], "--log-level", "debug")
-				cmd.Env = append(os.Environ(), "BARLEYWICK_RUN_MAIN=1", "ROUTER_CONFIG="+path)
-				return cmd
-			}}
-			if err := process.Start(); err != nil {
-				t.Fatal(err)
-			}
-			defer process.Kill()
+			process := startSidecar(t, silent, x.key, x.table)
 			for deadline := time.Now().Add(20 * time.Second); !strings.Contains(process.Output(), x.until) || !holdsSocket(process.PID(), x.until == ""); time.Sleep(time.Millisecond) {
 				if time.Now().After(deadline) {
 					t.Fatalf("it does not come so far:\n%s", process.Output())
 				}
 			}
 			begun := time.Now()
-			err = process.Terminate(bound)
+			err := process.Terminate(bound)
 			t.Logf("ended after %v", time.Since(begun).Round(time.Millisecond))
 			if err != nil {
 				t.Errorf("it did not end in order: %v\n%s", err, process.Output())
--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -127,7 +127,10 @@
 		t.Fatal(err)
 	}
 	select {
-	case <-ended:
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("it ended with %v, want status 0", err)
+		}
 	case <-time.After(bound):
 		_ = cmd.Process.Kill()
 		t.Errorf("it has not ended %v after SIGTERM", bound)
--- a/internal/registry/server/run.go
+++ b/internal/registry/server/run.go
@@ -18,8 +18,8 @@
 const (
 	// shutdownTimeout is how long calls may take to finish at the end; watches end at once.
 	shutdownTimeout = 5 * time.Second
-	// endBound is how long the whole end may take: the transfer of leadership, the calls, the
-	// farewell to the members of the fleet, calls to other replicas that are under way.
+	// endBound is how long the whole end may take: the start that is under way, the transfer of
+	// leadership, the calls, the farewell to the members of the fleet, calls of the disk.
 	endBound = 15 * time.Second
 )
 
--- a/internal/registry/server/snapshot_store_test.go
+++ b/internal/registry/server/snapshot_store_test.go
@@ -54,31 +54,44 @@
 	storage.Close()
 }
 
-// A replica that was away while the others compacted their logs, and has caught up by a snapshot and what
-// followed it, starts again on its folder.
-func TestStartAfterCatchingUpBySnapshot(t *testing.T) {
-	g := startGroup(t, 3)
-	leader := g.leader()
-	var away *node
+// stopFollower returns the leader, and a follower that has been stopped.
+func (g *group) stopFollower() (leader, away *node) {
+	g.t.Helper()
+	leader = g.leader()
 	for _, n := range g.nodes {
 		if n != leader {
 			away = n
 		}
 	}
 	away.stop()
+	return leader, away
+}
+
+// compact has a replica make a snapshot and keep so many of the entries behind it: 4096 in the
+// product.
+func (n *node) compact(kept uint64) {
+	n.t.Helper()
+	settings := n.raft.ReloadableConfig()
+	settings.TrailingLogs = kept
+	if err := n.raft.ReloadConfig(settings); err != nil {
+		n.t.Fatal(err)
+	}
+	if err := n.raft.Snapshot().Error(); err != nil {
+		n.t.Fatal(err)
+	}
+}
+
+// A replica that was away while the others compacted their logs, and has caught up by a snapshot and what
+// followed it, starts again on its folder.
+func TestStartAfterCatchingUpBySnapshot(t *testing.T) {
+	g := startGroup(t, 3)
+	leader, away := g.stopFollower()
 	for i := range 10 {
 		if _, err := leader.apply(registry.Command{Op: registry.OpPutRecord, Key: "test", Value: []byte{'0' + byte(i)}}); err != nil {
 			t.Fatal(err)
 		}
 	}
-	settings := leader.raft.ReloadableConfig()
-	settings.TrailingLogs = 1 // 4096 in the product, and as many more writes
-	if err := leader.raft.ReloadConfig(settings); err != nil {
-		t.Fatal(err)
-	}
-	if err := leader.raft.Snapshot().Error(); err != nil {
-		t.Fatal(err)
-	}
+	leader.compact(1)
 	away.start()
 	eventually(t, "it is ready", func() bool { return away.ready.Load() })
 	if _, err := leader.apply(registry.Command{Op: registry.OpPutRecord, Key: "test", Value: []byte("1")}); err != nil {
@@ -96,25 +109,11 @@
 // A leader that ends while a read of the snapshot that it sends does not return ends in time.
 func TestEndWhileASnapshotIsRead(t *testing.T) {
 	g := startGroup(t, 3)
-	leader := g.leader()
-	var away *node
-	for _, n := range g.nodes {
-		if n != leader {
-			away = n
-		}
-	}
-	away.stop()
+	leader, away := g.stopFollower()
 	if _, err := leader.apply(registry.Command{Op: registry.OpPutRecord, Key: "test", Value: []byte("1")}); err != nil {
 		t.Fatal(err)
 	}
-	settings := leader.raft.ReloadableConfig()
-	settings.TrailingLogs = 0
-	if err := leader.raft.ReloadConfig(settings); err != nil {
-		t.Fatal(err)
-	}
-	if err := leader.raft.Snapshot().Error(); err != nil {
-		t.Fatal(err)
-	}
+	leader.compact(0)
 	found, err := filepath.Glob(filepath.Join(leader.config.DataDir, "snapshots", "*", "state.bin"))
 	if err != nil || len(found) != 1 {
 		t.Fatalf("got %v, error %v, want one snapshot", found, err)
--- a/internal/testing/faultinjection/process.go
+++ b/internal/testing/faultinjection/process.go
@@ -206,17 +206,29 @@
 	return CheckEnd(p.err, string(p.output.Bytes()[p.begun:]))
 }
 
-// Crashed returns an error if the last start has ended neither in order nor by Kill.
+// Crashed returns an error if the last start has ended neither in order nor by Kill. A process
+// that had failed before it was killed has crashed.
 func (p *Process) Crashed() error {
 	p.mu.Lock()
-	killed := p.killed
+	killed, waitError := p.killed, p.err
 	p.mu.Unlock()
-	if killed {
+	if killed && endedBy(waitError, syscall.SIGKILL) {
 		return nil
 	}
 	return p.EndError()
 }
 
+// endedBy reports whether a process was ended by a signal. waitError is what exec.Cmd.Wait
+// returned.
+func endedBy(waitError error, signal syscall.Signal) bool {
+	var exit *exec.ExitError
+	if !errors.As(waitError, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == signal
+}
+
 // cutOffMark is in the log of a process whose end its own watchdog has cut off (package shutdown).
 const cutOffMark = "shutdown: cut off"
 
