--- a/review/standins/registry.go
+++ b/review/standins/registry.go
@@ -76,12 +76,17 @@
 	return "http://" + g.addrs[i] + "/registry/v1/" + path
 }
 
-// registerOnce registers a booking server in milano-a without a session: it stays until it is removed.
+// registerOnce registers a booking server on a machine of its own.
 func (h *harness) registerOnce(g *registryGroup, name, addr string) {
+	h.registerAt(g, name, addr, "m-"+name)
+}
+
+// registerAt registers a booking server in milano-a, without a session: it stays until it is removed.
+func (h *harness) registerAt(g *registryGroup, name, addr, machine string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	instance := map[string]any{"host": name, "dial": addr, "site": "milano-a", "class": "single-fast", "health": "up", "share": 1.0, "born_ms": 0}
-	status, err := call(ctx, "PUT", g.api(0, "instances/"+name), map[string]any{"instance": instance}, nil)
+	status, err := call(ctx, "PUT", g.api(0, "instances/"+name), map[string]any{"instance": instance, "machine": machine}, nil)
 	if err != nil || status != http.StatusOK {
 		h.fail("register %s: status %d, %v", name, status, err)
 	}
