--- a/review/standins/case2_lease.go
+++ b/review/standins/case2_lease.go
@@ -33,7 +33,7 @@
 	mu       sync.Mutex
 	last     string // who began the last act
 	lastAt   time.Time
-	previous string         // who began the last act before those of last
+	previous string             // who began the last act before those of last
 	pairs    map[[2]string]bool // the two that acted at once, in order of their names
 	excused  int                // acts that began after a pause of this process, beyond the page's bounds
 	grants   int
