--- a/review/standins-2/case6/main.go
+++ b/review/standins-2/case6/main.go
@@ -17,7 +17,7 @@
 
 const (
 	late     = 110 * time.Millisecond // of what the registry's watches bring
-	drains   = 24
+	drains   = 40
 	servers  = 4
 	sidecars = 3
 	work     = 70 * time.Millisecond
--- a/review/standins-2/rig/fleet.go
+++ b/review/standins-2/rig/fleet.go
@@ -30,13 +30,12 @@
 		g.IDs, g.Addrs = append(g.IDs, fmt.Sprint("r", i)), append(g.Addrs, r.FreeAddr())
 		replicas = append(replicas, map[string]any{"id": g.IDs[i], "http": g.Addrs[i], "raft": r.FreeAddr()})
 	}
-	for i, id := range g.IDs {
+	for _, id := range g.IDs {
 		c := map[string]any{"group": "prenota-nord", "id": id, "data": r.Dir + "/data-" + id, "replicas": replicas}
 		if leases != nil {
 			c["leases"] = leases
 		}
 		g.Procs = append(g.Procs, r.Start(id, "exec bin/registry -config "+r.Write(id+".json", c)))
-		_ = i
 	}
 	for i := range g.Addrs {
 		r.Await("replica "+g.IDs[i]+" is ready", 20*time.Second, func() bool { return Status("http://"+g.Addrs[i]+"/health/ready") == 200 })
@@ -164,3 +163,30 @@
 	}
 	c.Close()
 }
+
+// Replica is a registry of one replica, which can be started again.
+type Replica struct {
+	*Registry
+	Proc   *Proc
+	starts int
+	file   string
+}
+
+// StartReplica starts a registry of one replica.
+func (r *Rig) StartReplica() *Replica {
+	addr := r.FreeAddr()
+	p := &Replica{Registry: &Registry{rig: r, Addrs: []string{addr}, IDs: []string{"r1"}}}
+	p.file = r.Write("r1.json", map[string]any{
+		"group": "prenota-nord", "id": "r1", "data": r.Dir + "/r1",
+		"replicas": []any{map[string]any{"id": "r1", "http": addr, "raft": r.FreeAddr()}},
+	})
+	p.Start()
+	return p
+}
+
+// Start starts the replica, again after its end, and waits until it is ready.
+func (p *Replica) Start() {
+	p.starts++
+	p.Proc = p.rig.Start(fmt.Sprint("r1-", p.starts), "exec bin/registry -config "+p.file)
+	p.rig.Await("the registry is ready", 15*time.Second, func() bool { return Status("http://"+p.Addrs[0]+"/health/ready") == 200 })
+}
--- a/review/standins-2/rig/proxy.go
+++ b/review/standins-2/rig/proxy.go
@@ -5,7 +5,9 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -24,6 +26,8 @@
 	accepted bool // the accept loop is in Accept
 	down, up time.Duration
 	fillers  []net.Conn
+	lose     string // the answer to the next request that contains this is lost
+	lost     func()
 }
 
 const backlog = 128
@@ -47,6 +51,14 @@
 	p.down, p.up = down, up
 }
 
+// LoseAnswer loses the answer to the next request that contains a text: the connection stays open and silent. lost is
+// called when the request has passed.
+func (p *Proxy) LoseAnswer(request string, lost func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose, p.lost = request, lost
+}
+
 func (p *Proxy) accept() {
 	for {
 		p.mu.Lock()
@@ -120,8 +132,17 @@
 		client.Close()
 		return
 	}
-	go p.pump(client, server, func() time.Duration { return p.up })
-	p.pump(server, client, func() time.Duration { return p.down })
+	var mute atomic.Bool
+	go p.pump(client, server, func() time.Duration { return p.up }, func(b []byte) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.lose != "" && strings.Contains(string(b), p.lose) {
+			p.lose = ""
+			mute.Store(true)
+			go p.lost()
+		}
+	}, new(atomic.Bool))
+	p.pump(server, client, func() time.Duration { return p.down }, func([]byte) {}, &mute)
 }
 
 type chunk struct {
@@ -131,7 +152,7 @@
 }
 
 // pump forwards one direction of a connection.
-func (p *Proxy) pump(from, to net.Conn, delay func() time.Duration) {
+func (p *Proxy) pump(from, to net.Conn, delay func() time.Duration, seen func([]byte), mute *atomic.Bool) {
 	chunks := make(chan chunk, 1024)
 	go func() {
 		for {
@@ -155,6 +176,10 @@
 			p.changed.Wait()
 		}
 		p.mu.Unlock()
+		seen(c.text)
+		if mute.Load() {
+			continue
+		}
 		if len(c.text) > 0 && !broken {
 			if _, err := to.Write(c.text); err != nil {
 				broken = true
--- a/review/standins-2/rig/rig.go
+++ b/review/standins-2/rig/rig.go
@@ -1,7 +1,7 @@
 //go:build review
 
 // Package rig starts the project's programs, and stand-ins for clients, booking servers and the network,
-// for the cases 6 to 10 of the review.
+// for the cases 6 to 10 of the review, and for its further findings.
 package rig
 
 import (
