--- a/review/standins-2/case7/main.go
+++ b/review/standins-2/case7/main.go
@@ -1,13 +1,13 @@
 //go:build review
 
-// Case7: a sidecar that was cut off from the registry under a policy of mode refuse serves by the old policy when
-// the link is back, after the fleet has gone on to another without it.
+// Case7: a controller to which the registry's answers come late stops a server whose drain an operator has undone
+// meanwhile.
 package main
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -16,183 +16,184 @@
 )
 
 const (
-	sidecarCount = 5
-	leaseMS      = 5000 // policy.lease_ms, the default
-	cycles       = 7
-	cutOff       = 4               // of sidecarCount: the first ones
-	leastCut     = 8 * time.Second // and up to spread more
-	spread       = 3 * time.Second
-	observe      = 2500 * time.Millisecond
-	margin       = 300 * time.Millisecond // after the change is in force everywhere
-	interval     = 25 * time.Millisecond
-	work         = 70 * time.Millisecond
+	late     = 800 * time.Millisecond // of the registry's answers to the controllers
+	reaction = 200 * time.Millisecond
+	leaseMS  = 10000 // of the controllers
+	servers  = 4
+	sidecars = 3
+	work     = 110 * time.Millisecond
+	interval = 30 * time.Millisecond // of each sidecar's clients
+	lasts    = 95 * time.Second
 )
 
-// The tenant that each of the two policies serves; the other is not named in it.
-var tenants = []string{"lombarda-fibra", "piemonte-posa"}
-
-func document(tenant string) string {
-	return fmt.Sprintf("form = 1\nmode = \"refuse\"\n[[tenants]]\nname = %q\nslots = 8\nplaces = 2\n", tenant)
-}
-
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "stop" { // the stop command of the drain
+		resp, err := http.Get("http://" + os.Args[2] + "/" + os.Args[3])
+		if err != nil || resp.StatusCode != http.StatusOK {
+			os.Exit(1)
+		}
+		return
+	}
 	r := rig.New()
 	g := r.StartRegistry(map[string]any{"most_ttl_ms": leaseMS})
-	for i := range 2 {
-		name := fmt.Sprint("k", i)
-		file := r.Write(name+".toml", fmt.Sprintf("name = %q\nregistry = [%q, %q, %q]\nlisten = %q\n[policy]\n", name, g.Addrs[0], g.Addrs[1], g.Addrs[2], r.FreeAddr()))
-		r.Start(name, "exec bin/controller --config "+file)
-	}
-	ctl := r.Write("ctl.json", map[string]any{"registry": g.Addrs, "floor": map[string]any{"others": 0}, "longest_ms": 6000})
 
-	// What arrived at the booking servers, by request id.
 	var mu sync.Mutex
-	begun := make(map[string]time.Time)
-	for i := range 4 {
+	cut := make(map[string]string)       // by request id: the server that was stopped while it ran the request
+	undone := make(map[string]time.Time) // by server: since when its drain is undone
+	stopped := 0                         // stop commands for a server whose drain was undone
+	byName := make(map[string]*rig.Booking)
+	for i := range servers {
 		b := r.NewBooking(fmt.Sprint("s", i), work)
 		b.Begun = func(b *rig.Booking, req *http.Request) {
+			r.Logf("begun %s at %s", req.Header.Get("Request-Id"), b.Name)
+		}
+		b.Ended = func(b *rig.Booking, req *http.Request, wasCut bool) {
+			if wasCut {
+				mu.Lock()
+				cut[req.Header.Get("Request-Id")] = b.Name
+				mu.Unlock()
+				r.Logf("cut %s at %s", req.Header.Get("Request-Id"), b.Name)
+			}
+		}
+		b.Listen()
+		g.RegisterServer(b.Name, b.Addr, "milano-a", fmt.Sprint("m", i))
+		byName[b.Name] = b
+	}
+	control := r.FreeAddr()
+	go http.ListenAndServe(control, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		b := byName[strings.TrimPrefix(req.URL.Path, "/")]
+		mu.Lock()
+		since, isUndone := undone[b.Name]
+		mu.Unlock()
+		r.Logf("stop command for %s, which runs %d requests", b.Name, b.Running())
+		if isUndone {
 			mu.Lock()
-			begun[req.Header.Get("Request-Id")] = time.Now()
+			stopped++
 			mu.Unlock()
+			r.Logf("BROKEN: stop command for %s, %.3f s after fleetctl had said that its drain is undone", b.Name, time.Since(since).Seconds())
 		}
-		b.Listen()
-		g.RegisterServer(b.Name, b.Addr, []string{"milano-a", "torino-b"}[i%2], fmt.Sprint("m", i))
+		b.Stop()
+	}))
+	self, err := os.Executable()
+	if err != nil {
+		r.Cannot("%v", err)
 	}
-
-	// The links of the sidecars that are cut off; n4 has none that can be cut.
+	ctl := r.Write("ctl.json", map[string]any{
+		"registry": g.Addrs, "floor": map[string]any{"others": 1}, "longest_ms": 6000,
+		"stop": []string{self, "stop", control, "{host}"},
+	})
 	var links []*rig.Proxy
-	var sidecars []*rig.Clients
-	var requests []*rig.Request
-	for i := range sidecarCount {
-		name, listen := fmt.Sprint("n", i), r.FreeAddr()
-		discovery, routes := g.Addrs, []string{}
-		if i < cutOff {
-			discovery = nil
-			for _, addr := range g.Addrs {
-				p := r.NewProxy(addr)
-				links, discovery = append(links, p), append(discovery, p.Addr)
-				routes = append(routes, addr+"="+p.Addr)
-			}
-		}
-		policy := map[string]any{"registry": g.Addrs, "lease_ms": leaseMS}
-		if len(routes) > 0 {
-			policy["routes"] = routes
+	for i := range 2 {
+		name := fmt.Sprint("k", i)
+		routes := ""
+		for _, addr := range g.Addrs {
+			p := r.NewProxy(addr)
+			links, routes = append(links, p), routes+fmt.Sprintf("%q = %q\n", addr, p.Addr)
 		}
+		file := r.Write(name+".toml", fmt.Sprintf("name = %q\nregistry = [%q, %q, %q]\nlisten = %q\nlease_ms = %d\n[drains]\nconfig = %q\n[routes]\n%s",
+			name, g.Addrs[0], g.Addrs[1], g.Addrs[2], r.FreeAddr(), leaseMS, ctl, routes))
+		r.Start(name, "exec bin/controller --config "+file)
+	}
+
+	var clients []*rig.Clients
+	requests := make(map[string]*rig.Request)
+	for i := range sidecars {
+		name, listen := fmt.Sprint("n", i), r.FreeAddr()
 		file := r.Write(name+".json", map[string]any{
-			"name": name, "listen": listen, "discovery": discovery[0], "discovery_replicas": discovery[1:], "seed": fmt.Sprintf("%x", 77+i),
+			"name": name, "listen": listen, "discovery": g.Addrs[0], "discovery_replicas": g.Addrs[1:], "seed": fmt.Sprintf("%x", 7+i),
 			"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 512},
-			"settings": rig.Settings([]string{"milano-a", "torino-b"}, tenants, sidecarCount), "policy": policy,
+			"settings": rig.Settings([]string{"milano-a", "torino-b"}, []string{"lombarda-fibra", "piemonte-posa"}, sidecars),
 		})
-		r.Start(name, r.RunCommand(), "ROUTER_CONFIG="+file, "ROUTER_NAME="+name, "ROUTER_LISTEN="+listen, "ROUTER_DISCOVERY="+discovery[0])
+		r.Start(name, r.RunCommand(), "ROUTER_CONFIG="+file, "ROUTER_NAME="+name, "ROUTER_LISTEN="+listen, "ROUTER_DISCOVERY="+g.Addrs[0])
 		c := r.NewClients(name, listen)
 		c.Done = func(q *rig.Request) {
 			mu.Lock()
-			requests = append(requests, q)
+			requests[q.ID] = q
 			mu.Unlock()
 		}
-		sidecars = append(sidecars, c)
+		clients = append(clients, c)
 	}
-	for _, c := range sidecars {
+	for _, c := range clients {
 		r.AwaitReady(c.Sidecar, c.Listen)
 	}
-
-	// propose changes the policy and waits until it is in force everywhere.
-	propose := func(tenant, reason string, onStart func()) (settled time.Time) {
-		file := r.Write("policy.toml", document(tenant))
-		var p *rig.Proc
-		for try := range 20 {
-			p = r.Start(fmt.Sprintf("propose-%s-%d", reason, try), fmt.Sprintf("exec bin/fleetctl --config %s policy propose %s --reason %s --within 40s --wait", ctl, file, reason))
-			if onStart != nil {
-				onStart()
-				onStart = nil
-			}
-			<-p.Done()
-			if p.ExitStatus() == 0 {
-				settled = time.Now()
-				r.Logf("policy for %s is in force everywhere: %s", tenant, strings.ReplaceAll(strings.TrimSpace(r.Log(p)), "\n", " | "))
-				return settled
-			}
-			time.Sleep(500 * time.Millisecond) // no controller leads rollouts yet
-		}
-		r.Cannot("policy not in force: %s", r.Log(p))
-		return settled
+	calls := 0
+	fleetctl := func(command string) (status int, output string) {
+		calls++
+		p := r.Start(fmt.Sprint("fleetctl-", calls), "exec bin/fleetctl --config "+ctl+" "+command)
+		<-p.Done()
+		output = strings.TrimSpace(r.Log(p))
+		r.Logf("fleetctl %s: exit %d: %s", command, p.ExitStatus(), strings.ReplaceAll(output, "\n", " | "))
+		return p.ExitStatus(), output
 	}
-	inForce := func() bool { // at all sidecars, also those that were cut off
-		first := ""
-		for _, c := range sidecars {
-			epoch, _, _ := strings.Cut(rig.Get("http://"+c.Listen+"/health/policy"), ",")
-			if first == "" {
-				first = epoch
-			}
-			if epoch != first || rig.Status("http://"+c.Listen+"/health/ready") != 200 {
-				return false
+	r.Await("a controller holds the drains", 20*time.Second, func() bool {
+		_, output := fleetctl("tasks")
+		for _, line := range strings.Split(output, "\n") {
+			if f := strings.Fields(line); len(f) > 1 && f[0] == "drains" && strings.HasPrefix(f[1], "k") {
+				return true
 			}
 		}
-		return true
-	}
-	old := 0
-	propose(tenants[old], "first", nil)
-	r.Await("the first policy is in force", 20*time.Second, inForce)
-	for _, c := range sidecars {
-		for _, t := range tenants {
-			c.Run("confirm-visit", t, 2500*time.Millisecond, interval)
+		return false
+	})
+	if r.Trouble {
+		for _, p := range links {
+			p.SetDelay(late, 0)
 		}
+		r.Logf("the registry's answers come to the controllers %v late", late)
 	}
-	time.Sleep(time.Second)
-
-	type period struct {
-		from, to time.Time
-		tenant   string // not served by the policy in force
+	for i, c := range clients {
+		c.Run([]string{"confirm-visit", "hold-slot"}[i%2], []string{"lombarda-fibra", "piemonte-posa"}[i%2], 2500*time.Millisecond, interval)
 	}
-	var periods []period
-	for cycle := range cycles {
-		cutAt := time.Now()
-		if r.Trouble {
-			for _, p := range links {
-				p.Cut()
-			}
-			r.Logf("n0 to n3 are cut off from the registry")
+
+	began := time.Now()
+	drains := 0
+	for i := 0; time.Since(began) < lasts-25*time.Second; i++ {
+		machine, server := fmt.Sprint("m", i%servers), fmt.Sprint("s", i%servers)
+		if status, output := fleetctl("drain " + machine + " --detach"); status != 0 {
+			r.Cannot("drain %s: %s", machine, output)
 		}
-		next := 1 - old
-		settled := propose(tenants[next], fmt.Sprint("cycle-", cycle), nil)
-		time.Sleep(500 * time.Millisecond)
-		if r.Trouble {
-			time.Sleep(time.Until(cutAt.Add(leastCut + rand.N(spread))))
-			for _, p := range links {
-				p.Heal()
-			}
-			r.Logf("n0 to n3 are reached again")
+		// The operator watches the drain, and undoes it when it comes to stopping: "from here on only undrain leads back".
+		r.Await(machine+" comes to stopping", 60*time.Second, func() bool {
+			time.Sleep(50 * time.Millisecond)
+			_, output := fleetctl("status " + machine)
+			return strings.Contains(output, "\tstopping\t") || strings.Contains(output, "\tstopped\t") || strings.Contains(output, "\tdone\t")
+		})
+		time.Sleep(reaction)
+		if status, output := fleetctl("undrain " + machine); status != 0 {
+			r.Cannot("undrain %s: %s", machine, output)
 		}
-		time.Sleep(observe)
-		periods = append(periods, period{settled.Add(margin), time.Now(), tenants[old]})
-		r.Await("the policy is in force at all sidecars", 20*time.Second, inForce)
-		old = next
+		mu.Lock()
+		undone[server] = time.Now()
+		mu.Unlock()
+		time.Sleep(3 * time.Second)
+		mu.Lock()
+		delete(undone, server)
+		mu.Unlock()
+		byName[server].Stop()
+		byName[server].Listen() // whoever had stopped it starts it again
+		drains++
 	}
-	for _, c := range sidecars {
+	for _, c := range clients {
 		c.Stop()
 	}
 
 	mu.Lock()
-	broken, served := 0, make(map[string]int)
+	defer mu.Unlock()
+	served, failed := 0, 0
 	for _, q := range requests {
-		ran, arrived := begun[q.ID]
-		r.Logf("request %s %s %s sent %s answered %s status %d begun %v %s", q.ID, q.Sidecar, q.Tenant, r.Since(q.Sent), r.Since(q.Answered), q.Status, arrived, q.Err)
+		r.Logf("request %s %s %s sent %s answered %s status %d %s", q.ID, q.Sidecar, q.Class, r.Since(q.Sent), r.Since(q.Answered), q.Status, q.Err)
 		if q.Status == 200 {
-			served[q.Sidecar]++
-		}
-		for _, p := range periods {
-			if arrived && q.Tenant == p.tenant && q.Sent.After(p.from) && q.Sent.Before(p.to) {
-				broken++
-				r.Logf("BROKEN: %s of %s was sent to %s at %s, %.3f s after the policy that does not name %s was in force everywhere, and begun at %s", q.ID, q.Tenant, q.Sidecar, r.Since(q.Sent), q.Sent.Sub(p.from.Add(-margin)).Seconds(), p.tenant, r.Since(ran))
-			}
+			served++
 		}
 	}
-	mu.Unlock()
-	r.Say("requests: %d, served: %v", len(requests), served)
-	for _, c := range sidecars {
-		if served[c.Sidecar] < 100 {
-			r.Cannot("%s has served %d requests only", c.Sidecar, served[c.Sidecar])
+	for id, server := range cut {
+		if q := requests[id]; q != nil && q.Status != 200 {
+			failed++
+			r.Logf("lost: %s (%s) was running at %s as it was stopped, and its client got %d", id, q.Class, server, q.Status)
 		}
 	}
-	r.Verdict(broken, "requests of a tenant that the policy in force does not name were forwarded")
+	r.Say("%d drains undone, %d requests, %d served, %d lost to a stop", drains, len(requests), served, failed)
+	if drains < 2 || served < 500 {
+		r.Cannot("too little happened")
+	}
+	r.Verdict(stopped, "stop commands for a server whose drain was undone")
 }
