--- a/review/standins-2/case6/main.go
+++ b/review/standins-2/case6/main.go
@@ -59,6 +59,7 @@
 		byName[b.Name] = b
 	}
 	control := r.FreeAddr()
+	r.Release(control)
 	go http.ListenAndServe(control, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		b := byName[strings.TrimPrefix(req.URL.Path, "/")]
 		r.Logf("stop command for %s, which runs %d requests", b.Name, b.Running())
--- a/review/standins-2/case9/main.go
+++ b/review/standins-2/case9/main.go
@@ -96,6 +96,13 @@
 		r.AwaitReady(c.Sidecar, c.Listen)
 	}
 
+	r.Describe = func() (found string) {
+		for _, c := range sidecars {
+			found += fmt.Sprintf("%s: ready %d, %s; ", c.Sidecar, rig.Status("http://"+c.Listen+"/health/ready"), strings.TrimSpace(rig.Get("http://"+c.Listen+"/health/policy")))
+		}
+		return found
+	}
+
 	// propose changes the policy and waits until it is in force everywhere.
 	propose := func(tenant, reason string, onStart func()) (settled time.Time) {
 		file := r.Write("policy.toml", document(tenant))
--- a/review/standins-2/extra-carry/main.go
+++ b/review/standins-2/extra-carry/main.go
@@ -93,6 +93,13 @@
 		r.Logf("what passes between n0 and the registry comes %v late", late)
 	}
 
+	r.Describe = func() (found string) {
+		for _, c := range sidecars {
+			found += fmt.Sprintf("%s: ready %d, %s; ", c.Sidecar, rig.Status("http://"+c.Listen+"/health/ready"), strings.TrimSpace(rig.Get("http://"+c.Listen+"/health/policy")))
+		}
+		return found
+	}
+
 	// propose changes the policy and waits until it is in force everywhere.
 	number := 0
 	propose := func(mode, tenant string) (settled time.Time) {
--- a/review/standins-2/extra-redrain/main.go
+++ b/review/standins-2/extra-redrain/main.go
@@ -38,6 +38,7 @@
 		byName[b.Name] = b
 	}
 	control := r.FreeAddr()
+	r.Release(control)
 	go http.ListenAndServe(control, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		mu.Lock()
 		defer mu.Unlock()
--- a/review/standins-2/rig/booking.go
+++ b/review/standins-2/rig/booking.go
@@ -38,6 +38,7 @@
 
 // Listen starts the server, again after Stop.
 func (b *Booking) Listen() {
+	b.rig.Release(b.Addr)
 	ln, err := net.Listen("tcp", b.Addr)
 	if err != nil {
 		b.rig.Cannot("%v", err)
--- a/review/standins-2/rig/rig.go
+++ b/review/standins-2/rig/rig.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -35,10 +36,14 @@
 	Dir     string // temporary folder of the run
 	root    string // of the project
 
-	began time.Time
-	mu    sync.Mutex
-	rec   *os.File
-	procs []*Proc
+	// Describe, if not nil, is called when a run cannot take place, to say what was found.
+	Describe func() string
+
+	began    time.Time
+	mu       sync.Mutex
+	rec      *os.File
+	procs    []*Proc
+	reserved map[string]net.Listener // free addresses, kept until the process that listens there is started
 }
 
 // New starts a run. The script passes the folder of the case; the working directory is the project's root.
@@ -47,7 +52,7 @@
 		fmt.Fprintln(os.Stderr, "the folder of the case is missing")
 		os.Exit(StatusCannot)
 	}
-	r := &Rig{Trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
+	r := &Rig{Trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), reserved: make(map[string]net.Listener)}
 	var err error
 	if r.rec, err = os.Create(filepath.Join(os.Args[1], "record.txt")); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -88,6 +93,9 @@
 
 // Cannot ends a run that could not take place.
 func (r *Rig) Cannot(format string, args ...any) {
+	if r.Describe != nil {
+		r.Say("%s", r.Describe())
+	}
 	r.Say("cannot run: "+format, args...)
 	r.end(StatusCannot)
 }
@@ -119,16 +127,30 @@
 	os.Exit(status)
 }
 
-// FreeAddr returns a free loopback address.
+// FreeAddr returns a free loopback address. It stays reserved until Release.
 func (r *Rig) FreeAddr() string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		r.Cannot("%v", err)
 	}
-	defer ln.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reserved[ln.Addr().String()] = ln
 	return ln.Addr().String()
 }
 
+// Release ends the reservation of the addresses that a text names.
+func (r *Rig) Release(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for addr, ln := range r.reserved {
+		if strings.Contains(text, addr) {
+			ln.Close()
+			delete(r.reserved, addr)
+		}
+	}
+}
+
 // Write writes a file into the temporary folder: text as it is, anything else as JSON.
 func (r *Rig) Write(name string, content any) (path string) {
 	text, isText := content.(string)
@@ -157,6 +179,13 @@
 // Start starts a shell command as deploy/balancer.toml does, from the project's root; its output goes to a file. It
 // must be called by the main goroutine.
 func (r *Rig) Start(name, command string, env ...string) *Proc {
+	for _, word := range strings.FieldsFunc(command+" "+strings.Join(env, " "), func(c rune) bool { return c == ' ' || c == '=' }) {
+		r.Release(word)
+		if strings.HasPrefix(word, r.Dir) { // a configuration
+			text, _ := os.ReadFile(word)
+			r.Release(string(text))
+		}
+	}
 	out, err := os.Create(filepath.Join(r.Dir, name+".log"))
 	if err != nil {
 		r.Cannot("%v", err)
