--- a/review/standins-2/case7/main.go
+++ b/review/standins-2/case7/main.go
@@ -126,15 +126,8 @@
 		r.Logf("fleetctl %s: exit %d: %s", command, p.ExitStatus(), strings.ReplaceAll(output, "\n", " | "))
 		return p.ExitStatus(), output
 	}
-	r.Await("a controller holds the drains", 20*time.Second, func() bool {
-		_, output := fleetctl("tasks")
-		for _, line := range strings.Split(output, "\n") {
-			if f := strings.Fields(line); len(f) > 1 && f[0] == "drains" && strings.HasPrefix(f[1], "k") {
-				return true
-			}
-		}
-		return false
-	})
+	r.Await("a controller holds the drains", 30*time.Second, func() bool { return g.Holder("drains") != "" })
+	time.Sleep(time.Second)
 	if r.Trouble {
 		for _, p := range links {
 			p.SetDelay(late, 0)
--- a/review/standins-2/extra-redrain/main.go
+++ b/review/standins-2/extra-redrain/main.go
@@ -80,15 +80,8 @@
 		r.Logf("fleetctl %s: exit %d: %s", command, p.ExitStatus(), strings.ReplaceAll(output, "\n", " | "))
 		return output
 	}
-	r.Await("a controller holds the drains", 30*time.Second, func() bool {
-		time.Sleep(500 * time.Millisecond)
-		for _, line := range strings.Split(wait(fleetctl(ctlB, "tasks"), "tasks"), "\n") {
-			if f := strings.Fields(line); len(f) > 1 && f[0] == "drains" && f[1] == "k0" {
-				return true
-			}
-		}
-		return false
-	})
+	r.Await("a controller holds the drains", 30*time.Second, func() bool { return g.Holder("drains") != "" })
+	time.Sleep(time.Second)
 	time.Sleep(2 * time.Second)
 
 	passed := make(chan struct{})
--- a/review/standins-2/rig/fleet.go
+++ b/review/standins-2/rig/fleet.go
@@ -111,6 +111,25 @@
 	return 0
 }
 
+// Holder returns the name of the process that holds a lease, empty if none does.
+func (g *Registry) Holder(name string) string {
+	var response struct {
+		Leases []struct {
+			Name  string
+			Grant *struct{ Holder string }
+		}
+	}
+	if json.Unmarshal([]byte(Get("http://"+g.Addrs[0]+"/registry/v1/leases")), &response) != nil {
+		return ""
+	}
+	for _, l := range response.Leases {
+		if l.Name == name && l.Grant != nil {
+			return l.Grant.Holder
+		}
+	}
+	return ""
+}
+
 // RegisterServer registers a booking server, without a session.
 func (g *Registry) RegisterServer(host, dial, site, machine string) {
 	g.Call("PUT", "instances/"+host, map[string]any{
