--- a/review/standins-2/case9/main.go
+++ b/review/standins-2/case9/main.go
@@ -17,12 +17,12 @@
 
 const (
 	sidecarCount = 5
-	leaseMS      = 5000 // policy.lease_ms, the default
-	cycles       = 6
+	leaseMS      = 2000 // policy.lease_ms
+	cycles       = 8
 	cutOff       = 4               // of sidecarCount: the first ones
-	leastCut     = 8 * time.Second // and up to spread more
-	spread       = 3 * time.Second
-	observe      = 2500 * time.Millisecond
+	leastCut     = 4 * time.Second // and up to spread more
+	spread       = 1800 * time.Millisecond
+	observe      = 2 * time.Second
 	margin       = 300 * time.Millisecond // after the change is in force everywhere
 	interval     = 25 * time.Millisecond
 	work         = 70 * time.Millisecond
@@ -37,7 +37,7 @@
 
 func main() {
 	r := rig.New()
-	g := r.StartRegistry(map[string]any{"most_ttl_ms": leaseMS})
+	g := r.StartRegistry(map[string]any{"most_ttl_ms": 5000})
 	for i := range 2 {
 		name := fmt.Sprint("k", i)
 		file := r.Write(name+".toml", fmt.Sprintf("name = %q\nregistry = [%q, %q, %q]\nlisten = %q\n[policy]\n", name, g.Addrs[0], g.Addrs[1], g.Addrs[2], r.FreeAddr()))
